--- /dev/null
+++ b/internal/configstore/snapshot.go
@@ -0,0 +1,77 @@
+// Package configstore keeps the numbered configuration of the fleet in one
+// process: the copy in force, which only ever rises, and what follows from it.
+package configstore
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+
+	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
+)
+
+// Snapshot is one immutable configuration with indexes over it.
+type Snapshot struct {
+	// Number of the configuration.
+	Number uint64
+	// Doc is the configuration; readers must not change it.
+	Doc *zinniaquayv1.Configuration
+
+	accountByKey map[string]string
+	targets      map[serviceVersion][]string
+}
+
+type serviceVersion struct{ service, version string }
+
+// NewSnapshot indexes a configuration, which must not change afterwards.
+func NewSnapshot(doc *zinniaquayv1.Configuration) *Snapshot {
+	s := &Snapshot{
+		Number:       doc.GetNumber(),
+		Doc:          doc,
+		accountByKey: make(map[string]string),
+		targets:      make(map[serviceVersion][]string),
+	}
+	for name, account := range doc.GetAccounts() {
+		for _, digest := range account.GetKeySha256() {
+			s.accountByKey[digest] = name
+		}
+	}
+	for name, target := range doc.GetTargets() {
+		k := serviceVersion{target.GetService(), target.GetVersion()}
+		s.targets[k] = append(s.targets[k], name)
+	}
+	for _, names := range s.targets {
+		slices.Sort(names)
+	}
+	return s
+}
+
+// AccountByKey returns the client account that owns a key.
+func (s *Snapshot) AccountByKey(key string) (string, bool) {
+	digest := sha256.Sum256([]byte(key))
+	name, ok := s.accountByKey[hex.EncodeToString(digest[:])]
+	return name, ok
+}
+
+// Targets returns the names of the targets of a service's version, sorted.
+func (s *Snapshot) Targets(service, version string) []string {
+	return s.targets[serviceVersion{service, version}]
+}
+
+// MayStart reports whether a target is known and its availability zone is in.
+func (s *Snapshot) MayStart(target string) bool {
+	t, ok := s.Doc.GetTargets()[target]
+	if !ok {
+		return false
+	}
+	zone, ok := s.Doc.GetZones()[t.GetZone()]
+	return ok && zone.GetState() == zinniaquayv1.AvailabilityZone_in
+}
+
+// Weight returns the weight of a client account; 1 where none is set.
+func (s *Snapshot) Weight(account string) float64 {
+	if w := s.Doc.GetAccounts()[account].GetWeight(); w > 0 {
+		return w
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/errkind/errkind_test.go
@@ -0,0 +1,34 @@
+package errkind
+
+import (
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestOfFindsTheKindInAChain(t *testing.T) {
+	is := is.New(t)
+	err := fmt.Errorf("outer: %w", New(QueueFull, "account %q has %d waiting", "a", 3))
+	is.Equal(Of(err), QueueFull)
+	is.Equal(Of(errors.New("plain")), Internal)
+}
+
+func TestWriteNeverShowsTheCause(t *testing.T) {
+	is := is.New(t)
+	w := httptest.NewRecorder()
+	Write(w, Wrap(PlatformUnavailable, errors.New("secret address"), "try later"))
+	is.Equal(w.Code, 503)
+	is.Equal(w.Header().Get("Retry-After"), "1")
+	is.Equal(w.Body.String(), `{"error":{"kind":"platform_unavailable","message":"try later","not_run":true,"retry_after_ms":1000}}`+"\n")
+}
+
+func TestKindsThatMayHaveRunNeverSayNotRun(t *testing.T) {
+	is := is.New(t)
+	for _, k := range []Kind{OutcomeUnknown, TargetFailed, RunTimeout, Canceled, Internal} {
+		is.True(!k.Answer().NotRun) // a copy may have started
+	}
+	is.Equal(Kind("no such kind").Answer(), Internal.Answer())
+}
