Serve one streamed request over router, sidecar and target

Cause: every decision needs a path that calls it. Design: late binding; the router hands a request out once, to one claim. A sidecar keeps a job for each claim before it sends it, so that the answer to a tombstone needs no list of its own: a job that has not started is barred, one that is not known any more is answered with unknown. Ruled out: a list of tombstones with a time to live, since a router that was frozen for longer could be told that a request never started which had run and been forgotten.

--- /dev/null
+++ b/internal/clock/clock_test.go
@@ -0,0 +1,20 @@
+package clock
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestStampsRiseAndFollowWhatWasObserved(t *testing.T) {
+	is := is.New(t)
+	var a, b Clock
+	ahead := Stamp(time.Now().Add(time.Hour).UnixMilli()) << counterBits
+	first := a.Now()
+	second := a.Observe(ahead)
+	is.True(second > first)
+	is.True(second > ahead)             // a message comes after its cause
+	is.True(b.Observe(second) > second) // also on a clock an hour behind
+	is.True(a.Now() > second)
+}
--- /dev/null
+++ b/internal/router/queues.go
@@ -0,0 +1,91 @@
+package router
+
+import (
+	"slices"
+	"strings"
+)
+
+// queueKey names a queue: requests of one client account that the same targets
+// may serve.
+type queueKey struct{ account, service, version string }
+
+// queues holds the waiting requests in order of arrival. It is not safe for
+// concurrent use.
+type queues struct {
+	byKey   map[queueKey][]*request
+	byID    map[string]*request
+	perAcct map[string]int
+}
+
+// newQueues returns empty queues.
+func newQueues() *queues {
+	return &queues{
+		byKey:   make(map[queueKey][]*request),
+		byID:    make(map[string]*request),
+		perAcct: make(map[string]int),
+	}
+}
+
+// key returns the key of a request's queue.
+func key(r *request) queueKey { return queueKey{r.account, r.service, r.version} }
+
+// push appends a request to its queue.
+func (q *queues) push(r *request) {
+	q.insert(len(q.byKey[key(r)]), r)
+}
+
+// pushFront puts a request back at the head of its queue.
+func (q *queues) pushFront(r *request) {
+	q.insert(0, r)
+}
+
+// insert puts a request at a place of its queue.
+func (q *queues) insert(at int, r *request) {
+	k := key(r)
+	q.byKey[k] = slices.Insert(q.byKey[k], at, r)
+	q.byID[r.id] = r
+	q.perAcct[r.account]++
+}
+
+// remove takes a request out of its queue, if it is there.
+func (q *queues) remove(r *request) {
+	k := key(r)
+	i := slices.Index(q.byKey[k], r)
+	if i < 0 {
+		return
+	}
+	q.byKey[k] = slices.Delete(q.byKey[k], i, i+1)
+	if len(q.byKey[k]) == 0 {
+		delete(q.byKey, k)
+	}
+	delete(q.byID, r.id)
+	q.perAcct[r.account]--
+	if q.perAcct[r.account] == 0 {
+		delete(q.perAcct, r.account)
+	}
+}
+
+// find returns the waiting request with a hand-out ID, or nil.
+func (q *queues) find(handoutID string) *request {
+	i := strings.LastIndexByte(handoutID, '.')
+	if i < 0 {
+		return nil
+	}
+	r := q.byID[handoutID[:i]]
+	if r == nil || r.handoutID() != handoutID {
+		return nil
+	}
+	return r
+}
+
+// heads returns the first n requests of a queue.
+func (q *queues) heads(k queueKey, n int) []*request {
+	queue := q.byKey[k]
+	return queue[:min(n, len(queue))]
+}
+
+// waitingOf returns how many requests of an account wait.
+func (q *queues) waitingOf(account string) int { return q.perAcct[account] }
+
+// len returns how many requests wait.
+func (q *queues) len() int { return len(q.byID) }
--- /dev/null
+++ b/internal/router/request.go
@@ -0,0 +1,94 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
+)
+
+// state is the state of a caller's request at the router.
+//
+//	waiting:   in its account's queue; no copy of it is at any sidecar
+//	handedOut: one sidecar has it, or may have it
+//	ended:     answered or refused
+//
+// Transitions: waiting to handedOut when a claim is granted; handedOut to
+// waiting only when the sidecar says that it never started and can't start any
+// more; waiting to ended when the caller has gone, the deadline has passed or
+// the router shuts down, all of which are truly "not run"; handedOut to ended
+// when the answer ends or its outcome stays unknown.
+type state int
+
+const (
+	waiting state = iota
+	handedOut
+	ended
+)
+
+// holder is the sidecar that a request was handed to.
+type holder struct {
+	addr        string
+	target      string
+	handoutID   string
+	incarnation uint64
+}
+
+// request is one caller's request. Its fields from state on belong to the
+// router's lock.
+type request struct {
+	// id is what callers and targets see.
+	id       string
+	account  string
+	service  string
+	version  string
+	work     *zinniaquayv1.WorkRequest
+	hint     uint64
+	deadline time.Time
+
+	state state
+	// handouts counts how often the request was handed out.
+	handouts int
+	// placed names the targets that hold a reservation of this hand-out.
+	placed map[string]struct{}
+	// placeAt is when more reservations are due.
+	placeAt time.Time
+	// granted carries the holder of each hand-out to the caller's goroutine.
+	granted chan holder
+}
+
+// handoutID returns the identity of the present hand-out.
+func (r *request) handoutID() string { return fmt.Sprintf("%s.%d", r.id, r.handouts) }
+
+// reservation returns the reservation of the request at this router.
+func (r *request) reservation(routerAddr string) *zinniaquayv1.Reservation {
+	return &zinniaquayv1.Reservation{
+		RequestId:  r.handoutID(),
+		Account:    r.account,
+		RouterAddr: routerAddr,
+		CostHint:   r.hint,
+		Version:    r.version,
+	}
+}
+
+// handOut moves a waiting request to a sidecar and returns what it is to run.
+// The caller holds the router's lock.
+func (r *request) handOut(to holder, now time.Time) *zinniaquayv1.WorkRequest {
+	r.state = handedOut
+	r.work.RequestId = to.handoutID
+	r.work.Version = r.version
+	r.work.TimeoutMs = r.deadline.Sub(now).Milliseconds()
+	r.granted <- to
+	return r.work
+}
+
+// await waits until the request is handed out.
+func (r *request) await(ctx context.Context) (holder, error) {
+	select {
+	case h := <-r.granted:
+		return h, nil
+	case <-ctx.Done():
+		return holder{}, context.Cause(ctx)
+	}
+}
--- /dev/null
+++ b/internal/router/service.go
@@ -0,0 +1,91 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
+	"github.com/zinniaquay/zinniaquay/internal/configstore"
+)
+
+// Claim implements the RPC: it hands a waiting request out, once. A request
+// that does not wait, or that the target may not start, is gone.
+func (r *Router) Claim(_ context.Context, c *zinniaquayv1.ClaimRequest) (*zinniaquayv1.ClaimResponse, error) {
+	snap := r.opts.Store.Current()
+	if snap == nil || !snap.MayStart(c.GetTarget()) {
+		return &zinniaquayv1.ClaimResponse{}, nil
+	}
+	target := snap.Doc.GetTargets()[c.GetTarget()]
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	req := r.queues.find(c.GetRequestId())
+	if req == nil || !serves(target, req) || !now.Before(req.deadline) {
+		return &zinniaquayv1.ClaimResponse{}, nil
+	}
+	r.queues.remove(req)
+	r.running++
+	work := req.handOut(holder{
+		addr:        target.GetSidecarAddr(),
+		target:      c.GetTarget(),
+		handoutID:   c.GetRequestId(),
+		incarnation: c.GetIncarnation(),
+	}, now)
+	r.placer.poke()
+	return &zinniaquayv1.ClaimResponse{Granted: true, Request: work, Next: r.nextFor(target, req, c.GetTarget())}, nil
+}
+
+// serves reports whether a target may serve a request.
+func serves(t *zinniaquayv1.Target, req *request) bool {
+	return t.GetService() == req.service && t.GetVersion() == req.version
+}
+
+// nextFor returns a reservation of the request that waits behind one that was
+// claimed, so that a backlogged account needs no round of its own to place it.
+// The caller holds the lock.
+func (r *Router) nextFor(t *zinniaquayv1.Target, claimed *request, name string) *zinniaquayv1.Reservation {
+	heads := r.queues.heads(queueKey{claimed.account, t.GetService(), t.GetVersion()}, 1)
+	if len(heads) == 0 {
+		return nil
+	}
+	heads[0].place(name)
+	return heads[0].reservation(r.opts.Addr)
+}
+
+// Sample implements the RPC: it lists heads of queues that a target may serve,
+// at most one an account.
+func (r *Router) Sample(_ context.Context, s *zinniaquayv1.SampleRequest) (*zinniaquayv1.SampleResponse, error) {
+	res := &zinniaquayv1.SampleResponse{}
+	snap := r.opts.Store.Current()
+	if snap == nil || !snap.MayStart(s.GetTarget()) {
+		return res, nil
+	}
+	res.Reservations = r.sample(snap, s.GetTarget(), int(s.GetLimit()))
+	return res, nil
+}
+
+// sample returns up to limit reservations for a target.
+func (r *Router) sample(snap *configstore.Snapshot, name string, limit int) []*zinniaquayv1.Reservation {
+	target := snap.Doc.GetTargets()[name]
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []*zinniaquayv1.Reservation
+	for _, queue := range r.queues.byKey {
+		if len(found) >= limit {
+			break
+		}
+		if serves(target, queue[0]) {
+			queue[0].place(name)
+			found = append(found, queue[0].reservation(r.opts.Addr))
+		}
+	}
+	return found
+}
+
+// place notes that a target holds a reservation of the request.
+func (r *request) place(target string) {
+	if r.placed == nil {
+		r.placed = make(map[string]struct{})
+	}
+	r.placed[target] = struct{}{}
+}
--- /dev/null
+++ b/internal/rpc/pool.go
@@ -0,0 +1,138 @@
+package rpc
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1/zinniaquayv1connect"
+)
+
+const (
+	// CallTimeout is the longest time that a unary call between processes takes.
+	CallTimeout = time.Second
+	// dialTimeout is the longest time that a connection takes to open.
+	dialTimeout = time.Second
+	// idleTimeout closes connections that nobody has used.
+	idleTimeout = 90 * time.Second
+	// maxStreams is how many answers may stream over one connection.
+	maxStreams = 4096
+)
+
+// Peer is the clients of one other process, over connections of its own.
+type Peer struct {
+	// Addr (IP:port) is where the process answers.
+	Addr string
+	// Router calls the process as a router.
+	Router zinniaquayv1connect.RouterServiceClient
+	// Sidecar calls the process as a sidecar.
+	Sidecar zinniaquayv1connect.SidecarServiceClient
+	// Peer calls the process as a peer.
+	Peer zinniaquayv1connect.PeerServiceClient
+
+	transport *http.Transport
+}
+
+// Pool holds the clients of all other processes.
+type Pool struct {
+	node *Node
+
+	mu    sync.Mutex
+	peers map[string]*Peer
+}
+
+// NewPool returns an empty pool for a process.
+func NewPool(node *Node) *Pool {
+	return &Pool{node: node, peers: make(map[string]*Peer)}
+}
+
+// Get returns the clients for an address (IP:port). Connections open as needed.
+func (p *Pool) Get(addr string) *Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if peer, ok := p.peers[addr]; ok {
+		return peer
+	}
+	peer := p.newPeer(addr)
+	p.peers[addr] = peer
+	return peer
+}
+
+// Reset drops a peer's connections, so that the next Get opens new ones. A
+// connection may have gone silent for good while new ones work. Calls that are
+// under way on the old connections go on until their own timeouts.
+func (p *Pool) Reset(old *Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.peers[old.Addr] == old {
+		delete(p.peers, old.Addr)
+	}
+	old.transport.CloseIdleConnections()
+}
+
+// Close drops all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, peer := range p.peers {
+		peer.transport.CloseIdleConnections()
+	}
+	clear(p.peers)
+}
+
+// newPeer returns clients over a transport of their own.
+func (p *Pool) newPeer(addr string) *Peer {
+	peer := &Peer{Addr: addr, transport: newTransport()}
+	client := &http.Client{Transport: peer.transport}
+	opts := connect.WithInterceptors(&timeoutInterceptor{pool: p, peer: peer}, p.node.Interceptor())
+	base := "http://" + addr
+	peer.Router = zinniaquayv1connect.NewRouterServiceClient(client, base, opts)
+	peer.Sidecar = zinniaquayv1connect.NewSidecarServiceClient(client, base, opts)
+	peer.Peer = zinniaquayv1connect.NewPeerServiceClient(client, base, opts)
+	return peer
+}
+
+// newTransport returns an HTTP/2 transport without encryption.
+func newTransport() *http.Transport {
+	t := &http.Transport{
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		IdleConnTimeout: idleTimeout,
+		Protocols:       new(http.Protocols),
+	}
+	t.Protocols.SetUnencryptedHTTP2(true)
+	return t
+}
+
+// timeoutInterceptor bounds unary calls and resets the peer's connections when
+// one runs out, since the connection may have gone silent.
+type timeoutInterceptor struct {
+	pool *Pool
+	peer *Peer
+}
+
+// WrapUnary implements connect.Interceptor.
+func (t *timeoutInterceptor) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+		bounded, cancel := context.WithTimeout(ctx, CallTimeout)
+		defer cancel()
+		res, err := next(bounded, req)
+		if err != nil && bounded.Err() != nil && ctx.Err() == nil {
+			t.pool.Reset(t.peer)
+		}
+		return res, err
+	}
+}
+
+// WrapStreamingClient implements connect.Interceptor.
+func (t *timeoutInterceptor) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
+	return next
+}
+
+// WrapStreamingHandler implements connect.Interceptor.
+func (t *timeoutInterceptor) WrapStreamingHandler(next connect.StreamingHandlerFunc) connect.StreamingHandlerFunc {
+	return next
+}
--- /dev/null
+++ b/internal/rpc/server.go
@@ -0,0 +1,22 @@
+package rpc
+
+import (
+	"net/http"
+	"time"
+)
+
+// headerTimeout is the longest time that a peer takes to send a call's headers.
+const headerTimeout = 5 * time.Second
+
+// NewServer returns an HTTP/2 server without encryption for calls from peers.
+func NewServer(handler http.Handler) *http.Server {
+	s := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		Protocols:         new(http.Protocols),
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+	}
+	s.Protocols.SetHTTP1(true)
+	s.Protocols.SetUnencryptedHTTP2(true)
+	return s
+}
--- /dev/null
+++ b/internal/sidecar/run.go
@@ -0,0 +1,35 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
+	"github.com/zinniaquay/zinniaquay/internal/capacity"
+)
+
+// run offers a started request to the target and buffers the answer.
+func (s *Sidecar) run(ctx context.Context, j *job, work *zinniaquayv1.WorkRequest) {
+	defer j.stop()
+	end, outcome := s.engine.run(ctx, work, j.answer, func(service float64) { s.charge(j.account, service) })
+	s.finish(j, end, outcome)
+}
+
+// charge adds service to an account as the target generates it.
+func (s *Sidecar) charge(account string, service float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counters.Charge(account, service)
+}
+
+// finish ends a started job and gives its room back.
+func (s *Sidecar) finish(j *job, end *zinniaquayv1.End, outcome capacity.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	j.state = ended
+	j.endedAt = now
+	j.answer.append(endChunk(end))
+	s.gate.Finish(now, outcome)
+	s.poke()
+}
