--- /dev/null
+++ b/internal/platform/memory.go
@@ -0,0 +1,226 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// DefaultLoadInterval is the time between two load permits that the stand-in's
+// weight store gives.
+const DefaultLoadInterval = time.Second
+
+// Memory is a stand-in for the platform that lives in one process. It takes the
+// time from package time, so that tests can run it under fake time, and has
+// faults to switch on. Its methods may be called by several goroutines.
+type Memory struct {
+	mu           sync.Mutex
+	entries      map[string]Entry
+	revision     uint64
+	leases       map[string]leaseState
+	fencing      uint64
+	hostChanges  []hostChange
+	nextLoad     time.Time
+	loadInterval time.Duration
+	faults       Faults
+	calls        Calls
+	changed      chan struct{}
+}
+
+type leaseState struct {
+	holder  string
+	fencing uint64
+	expires time.Time
+}
+
+type hostChange struct {
+	at      time.Time
+	host    Host
+	removed bool
+}
+
+var _ Platform = (*Memory)(nil)
+
+// NewMemory returns an empty stand-in without faults.
+func NewMemory() *Memory {
+	return &Memory{
+		entries:      make(map[string]Entry),
+		leases:       make(map[string]leaseState),
+		loadInterval: DefaultLoadInterval,
+		changed:      make(chan struct{}),
+	}
+}
+
+// Get implements KV.
+func (m *Memory) Get(ctx context.Context, key string) (Entry, error) {
+	if err := m.begin(ctx, readCall); err != nil {
+		return Entry{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.entries[key], nil
+}
+
+// CompareAndSwap implements KV.
+func (m *Memory) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte) (bool, uint64, error) {
+	if len(value) > MaxValueBytes {
+		return false, 0, fmt.Errorf("%w: %d bytes", ErrTooLarge, len(value))
+	}
+	return m.write(ctx, key, expected, func() {
+		m.entries[key] = Entry{Value: slices.Clone(value), Revision: m.revision}
+	})
+}
+
+// Delete implements KV.
+func (m *Memory) Delete(ctx context.Context, key string, expected uint64) (bool, error) {
+	swapped, _, err := m.write(ctx, key, expected, func() { delete(m.entries, key) })
+	return swapped, err
+}
+
+// write runs effect under a condition and then loses the answer if told to.
+func (m *Memory) write(ctx context.Context, key string, expected uint64, effect func()) (bool, uint64, error) {
+	if err := m.begin(ctx, writeCall); err != nil {
+		return false, 0, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	swapped := m.entries[key].Revision == expected
+	if swapped {
+		m.revision++
+		effect()
+		m.wakeLocked()
+	}
+	if m.faults.LoseWriteAnswers {
+		return false, 0, fmt.Errorf("%w: answer lost", ErrUnavailable)
+	}
+	return swapped, m.entries[key].Revision, nil
+}
+
+// Watch implements KV.
+func (m *Memory) Watch(ctx context.Context, key string, after uint64, timeout time.Duration) (Entry, error) {
+	if err := m.begin(ctx, readCall); err != nil {
+		return Entry{}, err
+	}
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	for {
+		m.mu.Lock()
+		entry, faults, changed := m.entries[key], m.faults, m.changed
+		m.mu.Unlock()
+		switch {
+		case faults.SilentWatches:
+			<-ctx.Done()
+			return Entry{}, fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
+		case faults.Down:
+			return Entry{}, ErrUnavailable
+		case entry.Revision > after:
+			return entry, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return Entry{Revision: entry.Revision}, nil
+		case <-ctx.Done():
+			return Entry{}, fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
+		}
+	}
+}
+
+// Acquire implements Leases.
+func (m *Memory) Acquire(ctx context.Context, lease, holder string, ttl time.Duration) (Lease, error) {
+	if err := m.begin(ctx, writeCall); err != nil {
+		return Lease{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	state := m.leases[lease]
+	if state.holder != holder && now.Before(state.expires) {
+		return Lease{FencingNumber: state.fencing, Remaining: state.expires.Sub(now)}, nil
+	}
+	// A holder whose lease lapsed gets a new number as well, since another
+	// process may have acted in between.
+	if state.holder != holder || !now.Before(state.expires) {
+		m.fencing++
+		state.fencing = m.fencing
+	}
+	state.holder, state.expires = holder, now.Add(ttl)
+	m.leases[lease] = state
+	if m.faults.LoseWriteAnswers {
+		return Lease{}, fmt.Errorf("%w: answer lost", ErrUnavailable)
+	}
+	return Lease{Held: true, FencingNumber: state.fencing, Remaining: ttl}, nil
+}
+
+// Hosts implements Hosts. The list is as old as the fault HostListLag says.
+func (m *Memory) Hosts(ctx context.Context) ([]Host, error) {
+	if err := m.begin(ctx, readCall); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	asOf := time.Now().Add(-m.faults.HostListLag)
+	byName := make(map[string]Host)
+	for _, c := range m.hostChanges {
+		if c.at.After(asOf) {
+			break
+		}
+		if c.removed {
+			delete(byName, c.host.Name)
+			continue
+		}
+		byName[c.host.Name] = c.host
+	}
+	hosts := make([]Host, 0, len(byName))
+	for _, h := range byName {
+		hosts = append(hosts, h)
+	}
+	slices.SortFunc(hosts, func(a, b Host) int { return strings.Compare(a.Name, b.Name) })
+	return hosts, nil
+}
+
+// SetHost adds a host to the list or replaces the one of the same name.
+func (m *Memory) SetHost(h Host) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.hostChanges = append(m.hostChanges, hostChange{at: time.Now(), host: h})
+}
+
+// RemoveHost takes a host off the list.
+func (m *Memory) RemoveHost(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.hostChanges = append(m.hostChanges, hostChange{at: time.Now(), host: Host{Name: name}, removed: true})
+}
+
+// TakeLoadPermit implements Weights: one load an interval, in order of asking.
+func (m *Memory) TakeLoadPermit(ctx context.Context, _ string) (time.Duration, error) {
+	if err := m.begin(ctx, writeCall); err != nil {
+		return 0, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if m.nextLoad.Before(now) {
+		m.nextLoad = now
+	}
+	wait := m.nextLoad.Sub(now)
+	m.nextLoad = m.nextLoad.Add(m.loadInterval)
+	return wait, nil
+}
+
+// SetLoadInterval sets the time between two load permits.
+func (m *Memory) SetLoadInterval(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.loadInterval = d
+}
+
+// wakeLocked wakes all watches, which then look again.
+func (m *Memory) wakeLocked() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -41,7 +41,8 @@
 	// Delete removes a key whose revision is expected.
 	Delete(ctx context.Context, key string, expected uint64) (bool, error)
 	// Watch waits until the key's revision is above after, or for timeout, and
-	// returns the key as it then is. A waiting watch counts as one call.
+	// returns the key as it then is; the value may be missing where the revision
+	// is not above after. A waiting watch counts as one call.
 	Watch(ctx context.Context, key string, after uint64, timeout time.Duration) (Entry, error)
 }
 
