--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,114 @@
+package telemetry
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Prefix begins the name of every metric on /metrics.
+const Prefix = "zinniaquay_"
+
+// Name returns the registered name of a metric with labels, given as pairs of
+// key and value: Name("refused_total", "kind", "queue_full") is
+// refused_total{kind="queue_full"}. Names end in their unit, or in _total for
+// counts.
+func Name(family string, labels ...string) string {
+	if len(labels) < 2 {
+		return family
+	}
+	pairs := make([]string, 0, len(labels)/2)
+	for i := 0; i+1 < len(labels); i += 2 {
+		pairs = append(pairs, fmt.Sprintf("%s=%q", labels[i], labels[i+1]))
+	}
+	return family + "{" + strings.Join(pairs, ",") + "}"
+}
+
+// Handler shows a registry in the text format that Prometheus reads.
+func Handler(registry metrics.Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+		// The reader may have gone; there is nobody left to tell.
+		_ = Write(w, registry)
+	})
+}
+
+// Write writes all metrics of a registry in order of their names.
+func Write(w io.Writer, registry metrics.Registry) error {
+	var all []series
+	registry.Each(func(name string, metric any) {
+		all = append(all, seriesOf(name, metric)...)
+	})
+	slices.SortFunc(all, func(a, b series) int {
+		return cmp.Or(cmp.Compare(a.family, b.family), cmp.Compare(a.labels, b.labels))
+	})
+	previous := ""
+	for _, s := range all {
+		if s.family != previous {
+			if _, err := fmt.Fprintf(w, "# TYPE %s%s %s\n", Prefix, s.family, s.kind); err != nil {
+				return err
+			}
+			previous = s.family
+		}
+		if _, err := fmt.Fprintf(w, "%s%s%s %v\n", Prefix, s.family, s.labels, s.value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// series is one line of the text format.
+type series struct {
+	family, labels, kind string
+	value                any
+}
+
+// quantiles are the parts of a distribution that are shown.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+func seriesOf(name string, metric any) []series {
+	family, rest, labelled := strings.Cut(name, "{")
+	labels := ""
+	if labelled {
+		labels = "{" + rest
+	}
+	switch m := metric.(type) {
+	case metrics.Counter:
+		return []series{{family, labels, "counter", m.Count()}}
+	case metrics.Gauge:
+		return []series{{family, labels, "gauge", m.Value()}}
+	case metrics.GaugeFloat64:
+		return []series{{family, labels, "gauge", m.Value()}}
+	case metrics.Meter:
+		return []series{{family, labels, "counter", m.Count()}}
+	case metrics.Histogram:
+		s := m.Snapshot()
+		return summary(family, labels, s.Percentiles(quantiles), s.Sum(), s.Count())
+	case metrics.Timer:
+		s := m.Snapshot()
+		return summary(family, labels, s.Percentiles(quantiles), s.Sum(), s.Count())
+	}
+	return nil
+}
+
+func summary(family, labels string, values []float64, sum, count int64) []series {
+	lines := make([]series, 0, len(values)+2)
+	for i, v := range values {
+		lines = append(lines, series{family, withLabel(labels, fmt.Sprintf("quantile=\"%g\"", quantiles[i])), "summary", v})
+	}
+	return append(lines,
+		series{family + "_sum", labels, "counter", sum},
+		series{family + "_count", labels, "counter", count})
+}
+
+func withLabel(labels, label string) string {
+	if labels == "" {
+		return "{" + label + "}"
+	}
+	return strings.TrimSuffix(labels, "}") + "," + label + "}"
+}
--- /dev/null
+++ b/internal/timeline/recorder.go
@@ -0,0 +1,102 @@
+// Package timeline records what happens in a process as events stamped by a
+// hybrid logical clock, and merges the events of several processes in causal
+// order.
+package timeline
+
+import (
+	"context"
+	"sync"
+
+	"github.com/rcrowley/go-metrics"
+
+	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
+)
+
+const (
+	// DefaultEvents is the number of events that a process remembers.
+	DefaultEvents = 8192
+	// MaxDetailBytes is the longest detail of an event; the rest is cut off.
+	MaxDetailBytes = 512
+	// MaxAnswer is the largest number of events in one answer.
+	MaxAnswer = 4096
+)
+
+// Recorder is the bounded memory of a process's events. When it is full the
+// oldest event is dropped and counted. It is safe for several goroutines, and a
+// nil Recorder records nothing.
+type Recorder struct {
+	process string
+	now     func() uint64
+	lost    metrics.Counter
+
+	mu      sync.Mutex
+	events  []*zinniaquayv1.Event
+	next    int
+	dropped uint64
+}
+
+// NewRecorder returns a recorder that remembers capacity events of a process;
+// now returns rising stamps of the process's hybrid logical clock.
+func NewRecorder(process string, capacity int, now func() uint64, registry metrics.Registry) *Recorder {
+	return &Recorder{
+		process: process,
+		now:     now,
+		lost:    metrics.GetOrRegisterCounter("timeline_dropped_total", registry),
+		events:  make([]*zinniaquayv1.Event, 0, capacity),
+	}
+}
+
+// Record remembers an event. The request ID may be empty.
+func (r *Recorder) Record(kind Kind, requestID, detail string) {
+	if r == nil {
+		return
+	}
+	if !kind.Known() {
+		kind, detail = Unlisted, string(kind)+": "+detail
+	}
+	if len(detail) > MaxDetailBytes {
+		detail = detail[:MaxDetailBytes]
+	}
+	event := &zinniaquayv1.Event{Process: r.process, Kind: string(kind), RequestId: requestID, Detail: detail}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	// Stamped under the lock, so that the ring is in the order of the clock.
+	event.Clock = r.now()
+	if len(r.events) < cap(r.events) {
+		r.events = append(r.events, event)
+		return
+	}
+	r.events[r.next] = event
+	r.next = (r.next + 1) % len(r.events)
+	r.dropped++
+	r.lost.Inc(1)
+}
+
+// Events answers PeerService.Events: the oldest matching events in the order of
+// the clock.
+func (r *Recorder) Events(_ context.Context, req *zinniaquayv1.EventsRequest) (*zinniaquayv1.EventsResponse, error) {
+	limit := int(req.GetLimit())
+	if limit == 0 || limit > MaxAnswer {
+		limit = MaxAnswer
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	res := &zinniaquayv1.EventsResponse{Dropped: r.dropped}
+	for i := range r.events {
+		event := r.events[(r.next+i)%len(r.events)]
+		if len(res.Events) == limit {
+			break
+		}
+		if matches(event, req) {
+			res.Events = append(res.Events, event)
+		}
+	}
+	return res, nil
+}
+
+func matches(event *zinniaquayv1.Event, req *zinniaquayv1.EventsRequest) bool {
+	if event.GetClock() <= req.GetAfterClock() {
+		return false
+	}
+	return req.GetRequestId() == "" || req.GetRequestId() == event.GetRequestId()
+}
