Leave the body's read timeout to the HTTP server

Cause: net/http clears the read deadline itself once the body has been read (connReader.startBackgroundRead), so ReadTimeout cuts no answer. Change: the router's own bound is reverted; the server's ReadTimeout is set, and the test of an answer that takes longer stays, now against it. Conclusion: nothing to mend; the test guards the assumption.

--- a/internal/process/router.go
+++ b/internal/process/router.go
@@ -37,7 +37,6 @@
 	p.router = router.New(router.Options{
 		Addr:         b.node.Addr,
 		MaxBodyBytes: s.GetMaxBodyBytes(),
-		ReadTimeout:  s.GetReadTimeout().AsDuration(),
 		Store:        b.store,
 		Pool:         b.pool,
 		Log:          log,
@@ -84,6 +83,7 @@
 	return &http.Server{
 		Handler:           p.router.CallerHandler(),
 		ReadHeaderTimeout: p.settings.GetReadTimeout().AsDuration(),
+		ReadTimeout:       p.settings.GetReadTimeout().AsDuration(),
 	}
 }
 
--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -186,7 +186,6 @@
 
 // readBody reads a caller's body up to the limit.
 func (r *Router) readBody(w http.ResponseWriter, req *http.Request) ([]byte, error) {
-	r.boundRead(w)
 	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, r.opts.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -195,21 +194,9 @@
 	case err != nil:
 		return nil, errkind.Wrap(errkind.Malformed, err, "the body broke off")
 	}
-	// The body is read; from here on a read only notices that the caller goes.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, nil
 }
 
-// boundRead bounds the time to read a body. The server's own ReadTimeout would
-// go on running after the body and cut a long answer.
-func (r *Router) boundRead(w http.ResponseWriter) {
-	if r.opts.ReadTimeout <= 0 {
-		return
-	}
-	// A writer without deadlines belongs to a test; nothing bounds it then.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(r.opts.ReadTimeout))
-}
-
 // newRequest returns a waiting request.
 func (r *Router) newRequest(req *http.Request, id, account, name string, s *zinniaquayv1.Service, work *zinniaquayv1.WorkRequest) *request {
 	timeout := s.GetTimeout().AsDuration()
--- a/internal/router/path_test.go
+++ b/internal/router/path_test.go
@@ -75,11 +75,13 @@
 	start(t, sidecarListener, handler)
 
 	node, store = newNode(routerListener, doc)
-	r := router.New(router.Options{Addr: routerListener.Addr().String(), MaxBodyBytes: 1 << 20, ReadTimeout: readTimeout, Store: store, Pool: rpc.NewPool(node), Log: logr.Discard()})
+	r := router.New(router.Options{Addr: routerListener.Addr().String(), MaxBodyBytes: 1 << 20, Store: store, Pool: rpc.NewPool(node), Log: logr.Discard()})
 	go r.Run(t.Context())
 	_, handler = zinniaquayv1connect.NewRouterServiceHandler(r, connect.WithInterceptors(node.Interceptor()))
 	start(t, routerListener, handler)
-	callers := httptest.NewServer(r.CallerHandler())
+	callers := httptest.NewUnstartedServer(r.CallerHandler())
+	callers.Config.ReadTimeout = readTimeout
+	callers.Start()
 	t.Cleanup(callers.Close)
 	return callers.URL
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -32,9 +32,6 @@
 	Addr string
 	// MaxBodyBytes bounds the body of a caller's request.
 	MaxBodyBytes int64
-	// ReadTimeout bounds the time that a caller takes to send a body; 0 for no
-	// bound.
-	ReadTimeout time.Duration
 	// Store holds the configuration in force.
 	Store *configstore.Store
 	// Pool reaches the sidecars.
