Harden the relay: resume both legs, bound answers, claim idempotency keys

Cause: the thin path let a slow caller look like a silent connection, took an end chunk without checking that all chunks before it had passed, gave a sidecar up 8 s after the last chunk although heartbeats came, and trusted a dial error on a kept-alive connection as proof that a request never ran.

- Router: chunks are checked for number and sort, the answer's end counts only where it is due, the watchdog rests while the caller is written to, signs of life and not chunks keep an answer alive, and a stream that was begun ends with an error event and a cut connection.
- Sidecar: a model's stream resumes at the engine by byte after 5 s of silence; 'not run' needs that no connection was ever handed to the request (httptrace), since the transport may send a request a second time and fail only then to dial; answers are bounded in bytes and released by their router.
- Retries of what may be repeated take from a budget of a tenth of the requests.
- A booking's idempotency key is claimed in the key-value service first.
- The ID that targets see differs from the second hand-out on.

Tests of these follow; only the tests that were there have been run.

--- a/gen/zinniaquay/v1/zinniaquayv1connect/sidecar.connect.go
+++ b/gen/zinniaquay/v1/zinniaquayv1connect/sidecar.connect.go
@@ -44,6 +44,8 @@
 	SidecarServiceTombstoneProcedure = "/zinniaquay.v1.SidecarService/Tombstone"
 	// SidecarServiceCancelProcedure is the fully-qualified name of the SidecarService's Cancel RPC.
 	SidecarServiceCancelProcedure = "/zinniaquay.v1.SidecarService/Cancel"
+	// SidecarServiceReleaseProcedure is the fully-qualified name of the SidecarService's Release RPC.
+	SidecarServiceReleaseProcedure = "/zinniaquay.v1.SidecarService/Release"
 )
 
 // SidecarServiceClient is a client for the zinniaquay.v1.SidecarService service.
@@ -57,6 +59,8 @@
 	Tombstone(context.Context, *v1.TombstoneRequest) (*v1.TombstoneResponse, error)
 	// Cancel stops a request whose caller has gone.
 	Cancel(context.Context, *v1.CancelRequest) (*v1.CancelResponse, error)
+	// Release says that answers have arrived whole and need not be kept.
+	Release(context.Context, *v1.ReleaseRequest) (*v1.ReleaseResponse, error)
 }
 
 // NewSidecarServiceClient constructs a client for the zinniaquay.v1.SidecarService service. By
@@ -94,6 +98,12 @@
 			connect.WithSchema(sidecarServiceMethods.ByName("Cancel")),
 			connect.WithClientOptions(opts...),
 		),
+		release: connect.NewClient[v1.ReleaseRequest, v1.ReleaseResponse](
+			httpClient,
+			baseURL+SidecarServiceReleaseProcedure,
+			connect.WithSchema(sidecarServiceMethods.ByName("Release")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -103,6 +113,7 @@
 	attach    *connect.Client[v1.AttachRequest, v1.Chunk]
 	tombstone *connect.Client[v1.TombstoneRequest, v1.TombstoneResponse]
 	cancel    *connect.Client[v1.CancelRequest, v1.CancelResponse]
+	release   *connect.Client[v1.ReleaseRequest, v1.ReleaseResponse]
 }
 
 // Reserve calls zinniaquay.v1.SidecarService.Reserve.
@@ -137,6 +148,15 @@
 	return nil, err
 }
 
+// Release calls zinniaquay.v1.SidecarService.Release.
+func (c *sidecarServiceClient) Release(ctx context.Context, req *v1.ReleaseRequest) (*v1.ReleaseResponse, error) {
+	response, err := c.release.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // SidecarServiceHandler is an implementation of the zinniaquay.v1.SidecarService service.
 type SidecarServiceHandler interface {
 	// Reserve places reservations; each is a hint that a request waits.
@@ -148,6 +168,8 @@
 	Tombstone(context.Context, *v1.TombstoneRequest) (*v1.TombstoneResponse, error)
 	// Cancel stops a request whose caller has gone.
 	Cancel(context.Context, *v1.CancelRequest) (*v1.CancelResponse, error)
+	// Release says that answers have arrived whole and need not be kept.
+	Release(context.Context, *v1.ReleaseRequest) (*v1.ReleaseResponse, error)
 }
 
 // NewSidecarServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -181,6 +203,12 @@
 		connect.WithSchema(sidecarServiceMethods.ByName("Cancel")),
 		connect.WithHandlerOptions(opts...),
 	)
+	sidecarServiceReleaseHandler := connect.NewUnaryHandlerSimple(
+		SidecarServiceReleaseProcedure,
+		svc.Release,
+		connect.WithSchema(sidecarServiceMethods.ByName("Release")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/zinniaquay.v1.SidecarService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case SidecarServiceReserveProcedure:
@@ -191,6 +219,8 @@
 			sidecarServiceTombstoneHandler.ServeHTTP(w, r)
 		case SidecarServiceCancelProcedure:
 			sidecarServiceCancelHandler.ServeHTTP(w, r)
+		case SidecarServiceReleaseProcedure:
+			sidecarServiceReleaseHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -215,3 +245,7 @@
 func (UnimplementedSidecarServiceHandler) Cancel(context.Context, *v1.CancelRequest) (*v1.CancelResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("zinniaquay.v1.SidecarService.Cancel is not implemented"))
 }
+
+func (UnimplementedSidecarServiceHandler) Release(context.Context, *v1.ReleaseRequest) (*v1.ReleaseResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("zinniaquay.v1.SidecarService.Release is not implemented"))
+}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -45,6 +45,9 @@
 	KeyInUse Kind = "key_in_use"
 	// KeyReused means that an idempotency key came back with another request.
 	KeyReused Kind = "key_reused"
+	// AlreadyRan means that the request of an idempotency key ran and that its
+	// answer is not held any more.
+	AlreadyRan Kind = "already_ran"
 	// OutcomeUnknown means that the request may have run.
 	OutcomeUnknown Kind = "outcome_unknown"
 	// TargetFailed means that the target broke off or answered garbage.
@@ -89,6 +92,7 @@
 	RunTimeout:           {http.StatusGatewayTimeout, connect.CodeDeadlineExceeded, false, false},
 	KeyInUse:             {http.StatusConflict, connect.CodeAborted, false, true},
 	KeyReused:            {http.StatusUnprocessableEntity, connect.CodeFailedPrecondition, true, false},
+	AlreadyRan:           {http.StatusConflict, connect.CodeAlreadyExists, false, false},
 	OutcomeUnknown:       {http.StatusBadGateway, connect.CodeUnknown, false, false},
 	TargetFailed:         {http.StatusBadGateway, connect.CodeUnknown, false, false},
 	Canceled:             {StatusClientClosed, connect.CodeCanceled, false, false},
--- a/internal/process/router.go
+++ b/internal/process/router.go
@@ -40,6 +40,8 @@
 		Store:        b.store,
 		Pool:         b.pool,
 		Log:          log,
+		KV:           b.platform,
+		Registry:     b.registry,
 	})
 	return p, nil
 }
--- a/internal/process/sidecar.go
+++ b/internal/process/sidecar.go
@@ -34,6 +34,7 @@
 		Store:       b.store,
 		Pool:        b.pool,
 		Log:         log,
+		BufferBytes: s.GetBufferBytes(),
 	})
 	return p, nil
 }
--- /dev/null
+++ b/internal/retry/budget.go
@@ -0,0 +1,66 @@
+// Package retry decides whether a failed request may be tried again, so that
+// retries never multiply the load of a fleet that is failing.
+package retry
+
+import "time"
+
+// Limits of a budget.
+const (
+	// ShareOfRequests is the number of retries that each request adds to the
+	// budget.
+	ShareOfRequests = 0.1
+	// MinPerSecond is the number of retries a second that are allowed however
+	// few requests come.
+	MinPerSecond = 1.0
+	// MaxSaved is the largest number of retries that a budget saves up.
+	MaxSaved = 50.0
+	// MaxPerRequest is the number of times that one request is tried again.
+	MaxPerRequest = 2
+)
+
+// Budget bounds retries to a share of the requests. It is not safe for
+// concurrent use.
+type Budget struct {
+	saved float64
+	last  time.Time
+}
+
+// NewBudget returns a budget that has saved up MinPerSecond.
+func NewBudget(now time.Time) *Budget {
+	return &Budget{saved: MinPerSecond, last: now}
+}
+
+// Request notes a request that arrived, retries excluded.
+func (b *Budget) Request(now time.Time) {
+	b.refill(now)
+	b.saved = min(b.saved+ShareOfRequests, MaxSaved)
+}
+
+// Take takes one retry out of the budget for a request that was tried again
+// tries times before. It reports false if the request must not be tried again.
+func (b *Budget) Take(now time.Time, tries int) bool {
+	b.refill(now)
+	if tries >= MaxPerRequest || b.saved < 1 {
+		return false
+	}
+	b.saved--
+	return true
+}
+
+// refill adds what the passing of time allows.
+func (b *Budget) refill(now time.Time) {
+	b.saved = min(b.saved+MinPerSecond*max(0, now.Sub(b.last).Seconds()), MaxSaved)
+	b.last = now
+}
+
+// Bounds of the pause before a request is offered again.
+const (
+	minPause = 10 * time.Millisecond
+	maxPause = time.Second
+)
+
+// Pause returns how long a request waits before it is offered again for the
+// given time, counted from 0. It doubles each time.
+func Pause(tries int) time.Duration {
+	return min(minPause<<min(tries, 10), maxPause)
+}
--- /dev/null
+++ b/internal/retry/budget_test.go
@@ -0,0 +1,52 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Whatever the order of requests and failures, retries stay below the share of
+// the requests plus what the time and the first savings allow.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		start := now
+		b := NewBudget(now)
+		requests, retries := 0, 0
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "request") {
+				b.Request(now)
+				requests++
+			} else if b.Take(now, 0) {
+				retries++
+			}
+		}
+		most := ShareOfRequests*float64(requests) + MinPerSecond*(now.Sub(start).Seconds()+1)
+		if float64(retries) > most+1e-6 {
+			t.Fatalf("%d retries, at most %.2f allowed", retries, most)
+		}
+	})
+}
+
+func TestOneRequestIsTriedAgainOnlySoOften(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	b := NewBudget(now)
+	for range 100 {
+		b.Request(now)
+	}
+	is.True(b.Take(now, 0))
+	is.True(b.Take(now, MaxPerRequest-1))
+	is.True(!b.Take(now, MaxPerRequest))
+}
+
+func TestPauseDoublesUpToItsBound(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Pause(0), minPause)
+	is.Equal(Pause(1), 2*minPause)
+	is.Equal(Pause(1000), maxPause)
+}
--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -224,42 +223,3 @@
 		granted:  make(chan holder, 1),
 	}
 }
-
-// serve queues a request, waits for a sidecar and relays the answer.
-func (r *Router) serve(w http.ResponseWriter, httpReq *http.Request, snap *configstore.Snapshot, req *request) error {
-	ctx, cancel := context.WithDeadline(httpReq.Context(), req.deadline)
-	defer cancel()
-	if err := r.enqueue(req, snap); err != nil {
-		return err
-	}
-	sink := newSink(w)
-	for {
-		h, err := r.wait(ctx, req)
-		if err != nil {
-			return err
-		}
-		again, err := r.relay(ctx, req, h, sink)
-		if !again {
-			r.finish(req)
-			return err
-		}
-		r.requeue(req)
-	}
-}
-
-// wait waits for a hand-out. A request that is given up before it was handed
-// out has not run.
-func (r *Router) wait(ctx context.Context, req *request) (holder, error) {
-	h, err := req.await(ctx)
-	if err == nil {
-		return h, nil
-	}
-	if !r.withdraw(req) {
-		// It was handed out in the meantime.
-		return <-req.granted, nil
-	}
-	if errors.Is(err, context.DeadlineExceeded) {
-		return holder{}, errkind.New(errkind.WaitTimeout, "no target had room before the deadline")
-	}
-	return holder{}, errkind.Wrap(errkind.Canceled, err, "the caller has gone")
-}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -15,8 +15,9 @@
 //	ended:     answered or refused
 //
 // Transitions: waiting to handedOut when a claim is granted; handedOut to
-// waiting only when the sidecar says that it never started and can't start any
-// more; waiting to ended when the caller has gone, the deadline has passed or
+// waiting when the sidecar says that it never started and can't start any more,
+// or when a request that may be repeated failed before its caller saw any of the
+// answer; waiting to ended when the caller has gone, the deadline has passed or
 // the router shuts down, all of which are truly "not run"; handedOut to ended
 // when the answer ends or its outcome stays unknown.
 type state int
@@ -50,6 +51,10 @@
 	state state
 	// handouts counts how often the request was handed out.
 	handouts int
+	// retries counts hand-outs that may have run before another one.
+	retries int
+	// withdrawn says that the request left its queue without a hand-out.
+	withdrawn bool
 	// placed names the targets that hold a reservation of this hand-out.
 	placed map[string]struct{}
 	// placeAt is when more reservations are due.
@@ -61,6 +66,15 @@
 // handoutID returns the identity of the present hand-out.
 func (r *request) handoutID() string { return fmt.Sprintf("%s.%d", r.id, r.handouts) }
 
+// targetID returns the ID that the target sees: the request's own, and another
+// one for each later hand-out, so that an engine never takes one for the other.
+func (r *request) targetID() string {
+	if r.handouts == 0 {
+		return r.id
+	}
+	return r.handoutID()
+}
+
 // reservation returns the reservation of the request at this router.
 func (r *request) reservation(routerAddr string) *zinniaquayv1.Reservation {
 	return &zinniaquayv1.Reservation{
@@ -78,6 +92,7 @@
 	r.state = handedOut
 	r.work.RequestId = to.handoutID
 	r.work.Version = r.version
+	r.work.Headers[0].Value = r.targetID()
 	r.work.TimeoutMs = r.deadline.Sub(now).Milliseconds()
 	r.granted <- to
 	return r.work
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,17 +9,23 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
 	"github.com/zinniaquay/zinniaquay/internal/errkind"
+	"github.com/zinniaquay/zinniaquay/internal/idempotency"
+	"github.com/zinniaquay/zinniaquay/internal/platform"
+	"github.com/zinniaquay/zinniaquay/internal/retry"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
 )
 
 const (
 	// defaultMaxWaiting bounds the waiting requests of one client account.
 	defaultMaxWaiting = 256
+	// defaultMaxWaitingInAll bounds the waiting requests of all accounts.
+	defaultMaxWaitingInAll = 8192
 	// defaultTimeout is the longest time that a request may take.
 	defaultTimeout = 120 * time.Second
 	// defaultUnits are charged for a request to a plain service.
@@ -38,14 +44,24 @@
 	Pool *rpc.Pool
 	// Log takes structured logs.
 	Log logr.Logger
+	// KV holds idempotency keys. Without it requests that bring one are refused.
+	KV platform.KV
+	// Registry takes the metrics. Default one of its own.
+	Registry metrics.Registry
+	// MaxWaiting bounds the waiting requests of all accounts. Default 8192.
+	MaxWaiting int
 }
 
 // Router is the process between callers and sidecars.
 type Router struct {
-	opts   Options
-	placer *placer
+	opts     Options
+	placer   *placer
+	releaser *releaser
+	// keys is nil without a key-value service.
+	keys *idempotency.Keys
 
 	mu       sync.Mutex
+	retries  *retry.Budget
 	queues   *queues
 	running  int
 	draining bool
@@ -53,8 +69,18 @@
 
 // New returns a router that places nothing until Run.
 func New(o Options) *Router {
-	r := &Router{opts: o, queues: newQueues()}
+	if o.Registry == nil {
+		o.Registry = metrics.NewRegistry()
+	}
+	if o.MaxWaiting <= 0 {
+		o.MaxWaiting = defaultMaxWaitingInAll
+	}
+	r := &Router{opts: o, queues: newQueues(), retries: retry.NewBudget(time.Now())}
 	r.placer = newPlacer(r)
+	r.releaser = newReleaser(o)
+	if o.KV != nil {
+		r.keys = idempotency.New(idempotency.Options{KV: o.KV, Registry: o.Registry, Log: o.Log})
+	}
 	return r
 }
 
@@ -62,10 +88,15 @@
 func (r *Router) Run(ctx context.Context) {
 	var duties conc.WaitGroup
 	duties.Go(func() { r.placer.run(ctx) })
+	duties.Go(func() { r.releaser.run(ctx) })
+	if r.keys != nil {
+		duties.Go(func() { r.keys.Run(ctx) })
+	}
 	duties.Wait()
 }
 
-// Drain refuses new requests and waits until none is left or the context ends.
+// Drain refuses new requests and waits until none is left and all idempotency
+// keys are settled, or until the context ends.
 func (r *Router) Drain(ctx context.Context) error {
 	r.mu.Lock()
 	r.draining = true
@@ -79,6 +110,9 @@
 		case <-tick.C:
 		}
 	}
+	if r.keys != nil {
+		return r.keys.Drain(ctx)
+	}
 	return nil
 }
 
@@ -105,23 +139,46 @@
 
 // enqueue appends a request to its account's queue.
 func (r *Router) enqueue(req *request, snap *configstore.Snapshot) error {
-	most := int(snap.Doc.GetAccounts()[req.account].GetMaxWaiting())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := r.mayEnqueue(req.account, snap); err != nil {
+		return err
+	}
+	r.retries.Request(time.Now())
+	r.queues.push(req)
+	r.placer.poke()
+	return nil
+}
+
+// mayEnqueue returns why a request of an account may not wait here, if it may
+// not. The caller holds the lock.
+func (r *Router) mayEnqueue(account string, snap *configstore.Snapshot) error {
+	most := int(snap.Doc.GetAccounts()[account].GetMaxWaiting())
 	if most == 0 {
 		most = defaultMaxWaiting
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.draining {
+	switch {
+	case r.draining:
 		return errkind.New(errkind.Draining, "this router is shutting down")
-	}
-	if r.queues.waitingOf(req.account) >= most {
+	case r.queues.waitingOf(account) >= most:
 		return errkind.New(errkind.QueueFull, "%d requests of the account wait already", most)
+	case r.queues.len() >= r.opts.MaxWaiting:
+		return errkind.New(errkind.QueueFull, "%d requests wait at this router already", r.opts.MaxWaiting)
 	}
-	r.queues.push(req)
-	r.placer.poke()
 	return nil
 }
 
+// mayRetry takes a retry of a request that may have run out of the budget.
+func (r *Router) mayRetry(req *request) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.retries.Take(time.Now(), req.retries) {
+		return false
+	}
+	req.retries++
+	return true
+}
+
 // withdraw ends a request that still waits. It reports false if the request was
 // handed out, after which only its holder can tell what became of it.
 func (r *Router) withdraw(req *request) bool {
@@ -132,11 +189,13 @@
 	}
 	r.queues.remove(req)
 	req.state = ended
+	// After a hand-out that may have run, leaving the queue proves nothing.
+	req.withdrawn = req.retries == 0
 	return true
 }
 
 // requeue puts a request back to the head of its queue after a hand-out that
-// certainly did not start.
+// certainly did not start, or that may be repeated.
 func (r *Router) requeue(req *request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/rpc/node.go
+++ b/internal/rpc/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/subtle"
 	"errors"
+	"net"
 	"net/http"
 	"strings"
 
@@ -19,6 +20,9 @@
 // errNoToken is the answer to a call without the fleet's token.
 var errNoToken = connect.NewError(connect.CodeUnauthenticated, errors.New("fleet token missing or wrong"))
 
+// Dial opens a connection to an address (IP:port).
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Node is a process as its calls present it.
 type Node struct {
 	// Token is the secret that all processes of the fleet share.
@@ -33,6 +37,8 @@
 	// configuration is newer, before the message is acted on. It returns when
 	// the newer configuration is in force, or with an error if it can't be had.
 	HeardHigher func(ctx context.Context, addr string, number uint64) error
+	// Dial opens connections to peers. Default TCP.
+	Dial Dial
 }
 
 // Interceptor returns the interceptor that checks the token and carries Meta on
--- a/internal/rpc/pool.go
+++ b/internal/rpc/pool.go
@@ -86,7 +86,7 @@
 
 // newPeer returns clients over a transport of their own.
 func (p *Pool) newPeer(addr string) *Peer {
-	peer := &Peer{Addr: addr, transport: newTransport()}
+	peer := &Peer{Addr: addr, transport: newTransport(p.node.Dial)}
 	client := &http.Client{Transport: peer.transport}
 	opts := connect.WithInterceptors(&timeoutInterceptor{pool: p, peer: peer}, p.node.Interceptor())
 	base := "http://" + addr
@@ -97,9 +97,12 @@
 }
 
 // newTransport returns an HTTP/2 transport without encryption.
-func newTransport() *http.Transport {
+func newTransport(dial Dial) *http.Transport {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	t := &http.Transport{
-		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:     dial,
 		IdleConnTimeout: idleTimeout,
 		Protocols:       new(http.Protocols),
 	}
--- a/internal/sidecar/buffer.go
+++ b/internal/sidecar/buffer.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"errors"
 	"sync"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
@@ -9,29 +10,64 @@
 // maxMerged bounds the bytes that are merged into one chunk on the way out.
 const maxMerged = 64 << 10
 
+// errBufferFull means that the budget has no room for more of an answer.
+var errBufferFull = errors.New("answer buffer full")
+
 // buffer keeps the numbered chunks of one answer, so that a router can resume
 // on a new connection from any chunk.
 type buffer struct {
+	budget *budget
+
 	mu      sync.Mutex
 	chunks  []*zinniaquayv1.Chunk
+	bytes   int
+	dropped bool
 	changed chan struct{}
 }
 
-// newBuffer returns an empty buffer.
-func newBuffer() *buffer {
-	return &buffer{changed: make(chan struct{})}
+// newBuffer returns an empty buffer whose bytes count against a budget.
+func newBuffer(b *budget) *buffer {
+	return &buffer{budget: b, changed: make(chan struct{})}
 }
 
-// append numbers a chunk and wakes the readers.
-func (b *buffer) append(c *zinniaquayv1.Chunk) {
+// add appends a part of the answer, or returns errBufferFull.
+func (b *buffer) add(c *zinniaquayv1.Chunk) error {
+	size := len(c.GetBody())
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.dropped || !b.budget.take(size) {
+		return errBufferFull
+	}
+	b.bytes += size
+	b.append(c)
+	return nil
+}
+
+// end appends the end of the answer, for which there is always room.
+func (b *buffer) end(e *zinniaquayv1.End) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.append(&zinniaquayv1.Chunk{Part: &zinniaquayv1.Chunk_End{End: e}})
+}
+
+// append numbers a chunk and wakes the readers. The caller holds the lock.
+func (b *buffer) append(c *zinniaquayv1.Chunk) {
 	c.Number = uint64(len(b.chunks))
 	b.chunks = append(b.chunks, c)
 	close(b.changed)
 	b.changed = make(chan struct{})
 }
 
+// drop gives the bytes of the answer back to the budget. Readers that are
+// under way go on; none may come later.
+func (b *buffer) drop() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget.give(b.bytes)
+	b.bytes = 0
+	b.dropped = true
+}
+
 // next returns the chunk with the given number, merged with the bodies that
 // follow it, or nil and a channel that is closed when there is more.
 func (b *buffer) next(from uint64) (*zinniaquayv1.Chunk, <-chan struct{}) {
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -38,7 +38,7 @@
 	if _, known := s.jobs[res.GetRequestId()]; known {
 		return true
 	}
-	j := &job{id: res.GetRequestId(), account: res.GetAccount(), claimedAt: now, answer: newBuffer()}
+	j := &job{id: res.GetRequestId(), account: res.GetAccount(), claimedAt: now, answer: newBuffer(s.budget)}
 	s.jobs[j.id] = j
 	s.gate.Start(now)
 	s.runs.Go(func() { s.claim(ctx, j, res) })
@@ -82,6 +82,7 @@
 func (s *Sidecar) begin(j *job, work *zinniaquayv1.WorkRequest) (context.Context, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	j.granted = true
 	if j.state != claiming || time.Since(j.claimedAt) > rpc.CallTimeout || !s.mayStart() {
 		return nil, false
 	}
--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -10,11 +10,14 @@
 	"mime"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/capacity"
 	"github.com/zinniaquay/zinniaquay/internal/errkind"
+	"github.com/zinniaquay/zinniaquay/internal/rpc"
 )
 
 const (
@@ -27,12 +30,15 @@
 	maxWholeBytes = 16 << 20
 	// maxIdleToTarget bounds idle connections to the target.
 	maxIdleToTarget = 256
+	// idleToTarget closes connections to the target that nobody has used: the
+	// longer one is idle, the likelier it has gone silent.
+	idleToTarget = 10 * time.Second
 )
 
 // engine speaks to the target.
 type engine struct {
 	base string
-	// shared keeps connections alive between requests.
+	// shared keeps connections alive between requests to a model.
 	shared *http.Client
 	// once opens a connection for each request and never repeats one: a
 	// kept-alive connection lets the transport send a request again.
@@ -40,33 +46,38 @@
 }
 
 // newEngine returns the engine at a base URL.
-func newEngine(base string) *engine {
-	dial := (&net.Dialer{Timeout: targetDialTimeout}).DialContext
-	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &engine{
-		base: base,
-		shared: &http.Client{
-			Transport:     &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleToTarget, DisableCompression: true},
-			CheckRedirect: noRedirect,
-		},
-		once: &http.Client{
-			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
-			CheckRedirect: noRedirect,
-		},
+func newEngine(base string, dial rpc.Dial) *engine {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: targetDialTimeout}).DialContext
+	}
+	shared := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleToTarget, IdleConnTimeout: idleToTarget, DisableCompression: true}
+	once := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	return &engine{base: base, shared: newClient(shared), once: newClient(once)}
+}
+
+// newClient returns a client that passes redirects on to the caller.
+func newClient(t *http.Transport) *http.Client {
+	return &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
 // run offers a request to the target and appends its answer to a buffer, except
 // for the end, which it returns. charge is called as service is generated.
 func (e *engine) run(ctx context.Context, work *zinniaquayv1.WorkRequest, answer *buffer, charge func(float64)) (*zinniaquayv1.End, capacity.Outcome) {
-	res, err := e.offer(ctx, work)
-	if err != nil {
-		return offerFailed(ctx, err)
+	t := &transfer{engine: e, work: work, streamed: streamed(work)}
+	defer t.close()
+	res, err := t.start(ctx) //nolint:bodyclose // transfer.close closes it
+	if err != nil && !t.offered.Load() {
+		return neverOffered(ctx)
 	}
-	// A body that was read to its end can't fail to close in a way that matters.
-	defer func() { _ = res.Body.Close() }()
 	meter := &meter{charge: charge}
-	if err := readAnswer(res, work, answer, meter); err != nil {
+	if err == nil {
+		err = readAnswer(res, t, answer, meter)
+	}
+	if err != nil {
+		t.abort()
 		return readFailed(ctx, err, meter.total), capacity.Failed
 	}
 	if res.StatusCode >= http.StatusInternalServerError {
@@ -75,8 +86,23 @@
 	return &zinniaquayv1.End{Service: meter.total}, capacity.Succeeded
 }
 
-// offer sends the request.
-func (e *engine) offer(ctx context.Context, work *zinniaquayv1.WorkRequest) (*http.Response, error) {
+// isModel reports whether a request goes to a model.
+func isModel(work *zinniaquayv1.WorkRequest) bool { return work.GetUnits() == 0 }
+
+// streamed reports whether a request asks a model for a stream.
+func streamed(work *zinniaquayv1.WorkRequest) bool {
+	var body struct {
+		Stream bool `json:"stream"`
+	}
+	return isModel(work) && json.Unmarshal(work.GetBody(), &body) == nil && body.Stream
+}
+
+// offer sends the request. It sets offered before a byte of it can leave, so
+// that without offered the request certainly did not reach the target.
+func (e *engine) offer(ctx context.Context, work *zinniaquayv1.WorkRequest, offered *atomic.Bool) (*http.Response, error) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { offered.Store(true) },
+	})
 	req, err := http.NewRequestWithContext(ctx, work.GetMethod(), e.base+work.GetPath(), bytes.NewReader(work.GetBody()))
 	if err != nil {
 		return nil, fmt.Errorf("build request: %w", err)
@@ -84,7 +110,7 @@
 	for _, h := range work.GetHeaders() {
 		req.Header.Add(h.GetName(), h.GetValue())
 	}
-	if !work.GetNotRepeatable() {
+	if isModel(work) && !work.GetNotRepeatable() {
 		return e.shared.Do(req)
 	}
 	// Without GetBody the transport can't send the body a second time.
@@ -92,18 +118,17 @@
 	return e.once.Do(req)
 }
 
-// offerFailed tells how a request ended that got no answer. Only a connection
-// that was never opened is certain not to have run.
-func offerFailed(ctx context.Context, err error) (*zinniaquayv1.End, capacity.Outcome) {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return &zinniaquayv1.End{
-			ErrorKind: string(errkind.NoTarget),
-			Message:   "the target takes no connections",
-			NotRun:    true,
-		}, capacity.Refused
-	}
-	return readFailed(ctx, err, 0), capacity.Failed
+// neverOffered tells how a request ended for which no connection opened.
+func neverOffered(ctx context.Context) (*zinniaquayv1.End, capacity.Outcome) {
+	end := &zinniaquayv1.End{ErrorKind: string(errkind.NoTarget), Message: "the target takes no connections", NotRun: true}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		end.ErrorKind, end.Message = string(errkind.WaitTimeout), "the deadline passed before the request started"
+	case ctx.Err() != nil:
+		end.ErrorKind, end.Message = string(errkind.Canceled), "the request was cancelled"
+		return end, capacity.NeverStarted
+	}
+	return end, capacity.Refused
 }
 
 // readFailed tells how a request ended whose answer broke off.
@@ -119,6 +144,8 @@
 		end.Message = "the request was cancelled"
 	case errors.As(err, &garbage):
 		end.Message = garbage.Error()
+	case errors.Is(err, errBufferFull):
+		end.Message = "the sidecar has no room to keep the answer"
 	}
 	return end
 }
@@ -130,21 +157,27 @@
 func (g *garbageError) Error() string { return "the target's answer makes no sense: " + g.what }
 
 // readAnswer reads a whole answer into a buffer.
-func readAnswer(res *http.Response, work *zinniaquayv1.WorkRequest, answer *buffer, m *meter) error {
-	model := work.GetUnits() == 0
+func readAnswer(res *http.Response, t *transfer, answer *buffer, m *meter) error {
+	model := isModel(t.work) && res.StatusCode == http.StatusOK
 	kind, _, err := mime.ParseMediaType(res.Header.Get("Content-Type"))
 	switch {
-	case model && res.StatusCode == http.StatusOK && err != nil:
+	case res.StatusCode < http.StatusOK:
+		// A switch of protocols was never asked for.
+		return &garbageError{what: res.Status}
+	case model && err != nil:
 		return &garbageError{what: "no content type"}
-	case model && res.StatusCode == http.StatusOK && kind == "text/event-stream":
-		answer.append(headChunk(res))
-		return readEvents(res.Body, answer, m)
-	case model && res.StatusCode == http.StatusOK:
+	case model && kind == eventStream:
+		// What follows the end of the stream is dropped, so its length is none.
+		res.Header.Del("Content-Length")
+		if err := answer.add(headChunk(res)); err != nil {
+			return err
+		}
+		return readEvents(t, answer, m)
+	case model:
 		return readWhole(res, answer, m)
 	}
-	m.add(work.GetUnits())
-	answer.append(headChunk(res))
-	return readPlain(res.Body, answer)
+	m.add(t.work.GetUnits())
+	return readPlain(res, answer)
 }
 
 // readWhole reads a model's answer that is not streamed, and checks it before
@@ -159,18 +192,28 @@
 		return &garbageError{what: "not JSON, or too large"}
 	}
 	m.settle(usage.Usage)
-	answer.append(headChunk(res))
-	answer.append(bodyChunk(body))
-	return nil
+	if err := answer.add(headChunk(res)); err != nil {
+		return err
+	}
+	return answer.add(bodyChunk(body))
 }
 
-// readPlain copies an answer to its end.
-func readPlain(body io.Reader, answer *buffer) error {
+// readPlain copies an answer to its end. An answer that ends with its
+// connection could have been cut anywhere and is refused.
+func readPlain(res *http.Response, answer *buffer) error {
+	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 && !res.Uncompressed {
+		return &garbageError{what: "it does not say where it ends"}
+	}
+	if err := answer.add(headChunk(res)); err != nil {
+		return err
+	}
 	for {
 		part := make([]byte, readBytes)
-		n, err := body.Read(part)
+		n, err := res.Body.Read(part)
 		if n > 0 {
-			answer.append(bodyChunk(part[:n]))
+			if err := answer.add(bodyChunk(part[:n])); err != nil {
+				return err
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
--- a/internal/sidecar/events.go
+++ b/internal/sidecar/events.go
@@ -28,7 +28,9 @@
 		pending = append(pending, part[:n]...)
 		whole, done, bad := splitEvents(pending, m)
 		if whole > 0 {
-			answer.append(bodyChunk(bytes.Clone(pending[:whole])))
+			if err := answer.add(bodyChunk(bytes.Clone(pending[:whole]))); err != nil {
+				return err
+			}
 			pending = append(pending[:0], pending[whole:]...)
 		}
 		switch {
--- a/internal/sidecar/job.go
+++ b/internal/sidecar/job.go
@@ -16,7 +16,8 @@
 //
 // Transitions: claiming to started when the claim is granted in time, claiming
 // to ended when it is not or when a tombstone comes first, started to ended
-// when the answer ends. A tombstone never ends a started job.
+// when the answer ends. A tombstone never ends a started job. An ended job is
+// dropped when its router has the whole answer, or after linger.
 type jobState int
 
 const (
@@ -34,6 +35,9 @@
 	claimedAt time.Time
 	endedAt   time.Time
 	answer    *buffer
+	// granted says that the router handed the request out to this sidecar and
+	// waits for its answer.
+	granted bool
 	// stop cancels the run; it is set when the job has started.
 	stop context.CancelFunc
 }
@@ -46,18 +50,13 @@
 	}
 	j.state = ended
 	j.endedAt = now
-	j.answer.append(endChunk(&zinniaquayv1.End{
+	j.answer.end(&zinniaquayv1.End{
 		ErrorKind: string(errkind.NoTarget),
 		Message:   why,
 		NotRun:    true,
-	}))
+	})
 	return true
 }
 
 // ran reports whether the job has started at any time.
 func (j *job) ran() bool { return j.stop != nil }
-
-// endChunk returns the last chunk of an answer.
-func endChunk(e *zinniaquayv1.End) *zinniaquayv1.Chunk {
-	return &zinniaquayv1.Chunk{Part: &zinniaquayv1.Chunk_End{End: e}}
-}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -29,7 +29,10 @@
 	now := time.Now()
 	j.state = ended
 	j.endedAt = now
-	j.answer.append(endChunk(end))
+	j.answer.end(end)
+	if !j.granted {
+		s.drop(j)
+	}
 	s.gate.Finish(now, outcome)
 	s.poke()
 }
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -30,6 +30,7 @@
 		}
 		res.Accepted++
 	}
+	res.Leaving = s.draining
 	res.Room = uint32(max(0, s.gate.Room(time.Now())))
 	res.Waiting = uint32(s.waiting.len())
 	s.poke()
@@ -126,8 +127,26 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	// No router waits for the answer any more.
+	j.granted = false
 	if !j.bar(time.Now(), "caller has gone") && j.ran() {
 		j.stop()
 	}
 	return &zinniaquayv1.CancelResponse{}, nil
 }
+
+// Release implements the RPC: it drops answers that have arrived whole.
+func (s *Sidecar) Release(_ context.Context, req *zinniaquayv1.ReleaseRequest) (*zinniaquayv1.ReleaseResponse, error) {
+	if req.GetIncarnation() != s.opts.Incarnation {
+		return &zinniaquayv1.ReleaseResponse{}, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range req.GetRequestIds() {
+		if j, ok := s.jobs[id]; ok && j.state == ended {
+			s.drop(j)
+		}
+	}
+	s.poke()
+	return &zinniaquayv1.ReleaseResponse{}, nil
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -43,12 +43,17 @@
 	Pool *rpc.Pool
 	// Log takes structured logs.
 	Log logr.Logger
+	// BufferBytes bounds the answers that are kept for routers. Default 64 MiB.
+	BufferBytes int64
+	// DialTarget opens connections to the target. Default TCP.
+	DialTarget rpc.Dial
 }
 
 // Sidecar is the process beside one target.
 type Sidecar struct {
 	opts   Options
 	engine *engine
+	budget *budget
 	wake   chan struct{}
 	runs   conc.WaitGroup
 
@@ -64,7 +69,8 @@
 func New(o Options) *Sidecar {
 	s := &Sidecar{
 		opts:    o,
-		engine:  newEngine(o.TargetURL),
+		engine:  newEngine(o.TargetURL, o.DialTarget),
+		budget:  newBudget(o.BufferBytes),
 		wake:    make(chan struct{}, 1),
 		gate:    newGate(o.Store.Current(), o.Target),
 		waiting: newReservations(),
@@ -105,15 +111,16 @@
 	duties.Wait()
 }
 
-// Drain stops new work and waits until all running requests have ended or the
-// context has.
+// Drain stops new work and waits until all running requests have ended and
+// their routers have the answers, or until the context ends. An answer that no
+// router fetches is waited for no longer than linger.
 func (s *Sidecar) Drain(ctx context.Context) error {
 	s.mu.Lock()
 	s.draining = true
 	s.mu.Unlock()
 	tick := time.NewTicker(10 * time.Millisecond)
 	defer tick.Stop()
-	for s.Running() > 0 {
+	for s.owed() > 0 {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -123,6 +130,19 @@
 	return nil
 }
 
+// owed returns the number of requests whose answers are not with their routers.
+func (s *Sidecar) owed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	owed := 0
+	for _, j := range s.jobs {
+		if j.state != ended || j.granted {
+			owed++
+		}
+	}
+	return owed
+}
+
 // Running returns the number of requests that run or are being claimed.
 func (s *Sidecar) Running() int {
 	s.mu.Lock()
@@ -131,11 +151,11 @@
 }
 
 // mayStart reports whether the target may start new work: the configuration
-// knows it, its availability zone is in, and the sidecar is not draining. The
-// caller holds the lock.
+// knows it, its availability zone is in, the sidecar is not draining, and there
+// is room for the answer. The caller holds the lock.
 func (s *Sidecar) mayStart() bool {
 	snap := s.opts.Store.Current()
-	return !s.draining && snap != nil && snap.MayStart(s.opts.Target)
+	return !s.draining && !s.budget.scarce() && snap != nil && snap.MayStart(s.opts.Target)
 }
 
 // poke wakes the dispatcher.
@@ -165,11 +185,18 @@
 func (s *Sidecar) dropOld(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, j := range s.jobs {
+	for _, j := range s.jobs {
 		if j.state == ended && now.Sub(j.endedAt) > linger {
-			delete(s.jobs, id)
+			s.drop(j)
 		}
 	}
+	s.poke()
+}
+
+// drop forgets an ended job and its answer. The caller holds the lock.
+func (s *Sidecar) drop(j *job) {
+	delete(s.jobs, j.id)
+	j.answer.drop()
 }
 
 // Status returns what the sidecar knows of itself.
