Test idempotency keys under outages, lost answers and late writes

2000 seeded schedules of six requests with one key at three routers, under a key-value service that is down, slow or loses answers, never let two run.

--- /dev/null
+++ b/internal/idempotency/keys_test.go
@@ -0,0 +1,198 @@
+package idempotency
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
+	"github.com/zinniaquay/zinniaquay/internal/errkind"
+	"github.com/zinniaquay/zinniaquay/internal/platform"
+)
+
+// newKeys returns keys over a key-value service, settled until the test ends.
+func newKeys(t *testing.T, kv platform.KV) *Keys {
+	t.Helper()
+	k := New(Options{KV: kv, Registry: metrics.NewRegistry(), Log: logr.Discard()})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		k.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return k
+}
+
+// request returns a request with key "k" and a body.
+func request(owner, body string) Request {
+	return Request{Account: "village", Service: "kits", Key: "k", Owner: owner, Digest: Digest([]byte(body)), Timeout: time.Minute}
+}
+
+func TestASecondRequestHearsTheTruthAboutTheFirst(t *testing.T) {
+	answer := &zinniaquayv1.RecordedAnswer{Status: 201, Body: []byte("kit 7")}
+	for name, c := range map[string]struct {
+		settle func(*Keys, *Claim)
+		wait   time.Duration
+		body   string
+		kind   errkind.Kind // "" for the recorded answer
+		free   bool
+	}{
+		"under way":        {settle: func(*Keys, *Claim) {}, kind: errkind.KeyInUse},
+		"owner never told": {settle: func(*Keys, *Claim) {}, wait: 2 * time.Minute, kind: errkind.OutcomeUnknown},
+		"another request":  {settle: func(*Keys, *Claim) {}, body: "other", kind: errkind.KeyReused},
+		"done":             {settle: func(k *Keys, c *Claim) { k.Done(c, answer) }},
+		"answer too large": {settle: func(k *Keys, c *Claim) { k.Done(c, &zinniaquayv1.RecordedAnswer{LeftOut: true}) }, kind: errkind.AlreadyRan},
+		"outcome unknown":  {settle: func(k *Keys, c *Claim) { k.Unknown(c) }, kind: errkind.OutcomeUnknown},
+		"did not run":      {settle: func(k *Keys, c *Claim) { k.Release(context.Background(), c) }, free: true},
+		"long ago":         {settle: func(k *Keys, c *Claim) { k.Done(c, answer) }, wait: Retention + 10*time.Minute, free: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				kv := platform.NewMemory()
+				first, second := newKeys(t, kv), newKeys(t, kv)
+				claim, _, err := first.Claim(t.Context(), request("r1", "body"))
+				is.NoErr(err)
+				c.settle(first, claim)
+				is.NoErr(first.Drain(t.Context()))
+				time.Sleep(c.wait)
+				body := c.body
+				if body == "" {
+					body = "body"
+				}
+				again, recorded, err := second.Claim(t.Context(), request("r2", body))
+				is.Equal(again != nil, c.free)
+				is.Equal(recorded != nil, !c.free && c.kind == "")
+				is.Equal(err != nil, c.kind != "")
+				if err != nil {
+					is.Equal(errkind.Of(err), c.kind)
+				}
+				if recorded != nil {
+					is.Equal(string(recorded.GetBody()), "kit 7")
+				}
+			})
+		})
+	}
+}
+
+func TestALostAnswerIsResolvedByReadingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		kv := platform.NewMemory()
+		k := newKeys(t, kv)
+		kv.SetFaults(platform.Faults{LoseWriteAnswers: true})
+		claim, _, err := k.Claim(t.Context(), request("r1", "body"))
+		is.NoErr(err)
+		is.True(claim != nil)
+		is.Equal(kv.Calls().Writes, uint64(1)) // the claim is not written again
+	})
+}
+
+// lateWrites lets the first write take effect only when it is told to.
+type lateWrites struct {
+	*platform.Memory
+	late func()
+}
+
+// CompareAndSwap implements platform.KV.
+func (l *lateWrites) CompareAndSwap(ctx context.Context, key string, expected uint64, value []byte) (bool, uint64, error) {
+	if l.late != nil {
+		return l.Memory.CompareAndSwap(ctx, key, expected, value)
+	}
+	l.late = func() { _, _, _ = l.Memory.CompareAndSwap(context.Background(), key, expected, value) }
+	l.SetFaults(platform.Faults{Down: true})
+	return false, 0, platform.ErrUnavailable
+}
+
+func TestAClaimThatWasRefusedCantTakeEffectLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		kv := &lateWrites{Memory: platform.NewMemory()}
+		k := newKeys(t, kv)
+		_, _, err := k.Claim(t.Context(), request("r1", "body"))
+		is.Equal(errkind.Of(err), errkind.PlatformUnavailable)
+		time.Sleep(time.Minute)
+		kv.SetFaults(platform.Faults{})
+		is.NoErr(k.Drain(t.Context()))
+		kv.late() // the lost write arrives at last
+		claim, _, err := k.Claim(t.Context(), request("r2", "body"))
+		is.NoErr(err)
+		is.True(claim != nil)
+	})
+}
+
+func TestExpiredRecordsCostNoWritesOfTheirOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		now := time.Now()
+		p := &page{}
+		for i := range 100 {
+			p.add(&zinniaquayv1.KeyRecord{KeyDigest: fmt.Appendf(nil, "k%d", i), ExpiresUnixMs: now.Add(time.Duration(i) * time.Minute).UnixMilli()})
+		}
+		value, err := p.encode(now.Add(50*time.Minute + skewAllowance))
+		is.NoErr(err)
+		kept, err := decodePage(value)
+		is.NoErr(err)
+		is.Equal(len(kept.records), 49)
+	})
+}
+
+// Whatever faults the key-value service has, and in whatever order requests
+// with one key come and end, at most one of them owns the key before it is free
+// again.
+func TestAKeyHasOneOwnerUnderFaults(t *testing.T) {
+	for seed := range uint64(2000) {
+		synctest.Test(t, func(t *testing.T) { oneOwner(t, seed) })
+	}
+}
+
+func oneOwner(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	kv := platform.NewMemory()
+	routers := []*Keys{newKeys(t, kv), newKeys(t, kv), newKeys(t, kv)}
+	ran := make(chan string, 16)
+	for i := range 6 {
+		k, wait, end := routers[rng.IntN(3)], time.Duration(rng.IntN(3000))*time.Millisecond, rng.IntN(3)
+		go func() {
+			time.Sleep(wait)
+			claim, _, err := k.Claim(t.Context(), request(fmt.Sprint(i), "body"))
+			if err != nil || claim == nil {
+				return
+			}
+			switch end {
+			case 0:
+				k.Release(t.Context(), claim)
+			case 1:
+				ran <- fmt.Sprint(i)
+				k.Unknown(claim)
+			default:
+				ran <- fmt.Sprint(i)
+				k.Done(claim, &zinniaquayv1.RecordedAnswer{Status: 200})
+			}
+		}()
+	}
+	for range 8 {
+		time.Sleep(time.Duration(rng.IntN(600)) * time.Millisecond)
+		kv.SetFaults(platform.Faults{
+			Down:             rng.IntN(3) == 0,
+			LoseWriteAnswers: rng.IntN(3) == 0,
+			Slow:             time.Duration(rng.IntN(700)) * time.Millisecond,
+		})
+	}
+	kv.SetFaults(platform.Faults{})
+	time.Sleep(time.Minute)
+	if len(ran) > 1 {
+		t.Errorf("seed %d: %d requests with one key ran", seed, len(ran))
+	}
+}
