--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -135,6 +135,7 @@
 func readFailed(ctx context.Context, err error, service float64) *zinniaquayv1.End {
 	end := &zinniaquayv1.End{ErrorKind: string(errkind.TargetFailed), Message: "the target's answer broke off", Service: service}
 	var garbage *garbageError
+	var status *statusError
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		end.ErrorKind = string(errkind.RunTimeout)
@@ -144,6 +145,8 @@
 		end.Message = "the request was cancelled"
 	case errors.As(err, &garbage):
 		end.Message = garbage.Error()
+	case errors.As(err, &status):
+		end.Message = status.Error()
 	case errors.Is(err, errBufferFull):
 		end.Message = "the sidecar has no room to keep the answer"
 	}
@@ -156,6 +159,12 @@
 // Error implements error.
 func (g *garbageError) Error() string { return "the target's answer makes no sense: " + g.what }
 
+// statusError says that a model answered with an error of its own.
+type statusError struct{ status string }
+
+// Error implements error.
+func (s *statusError) Error() string { return "the target answered " + s.status }
+
 // readAnswer reads a whole answer into a buffer.
 func readAnswer(res *http.Response, t *transfer, answer *buffer, m *meter) error {
 	model := isModel(t.work) && res.StatusCode == http.StatusOK
@@ -164,6 +173,9 @@
 	case res.StatusCode < http.StatusOK:
 		// A switch of protocols was never asked for.
 		return &garbageError{what: res.Status}
+	case isModel(t.work) && res.StatusCode >= http.StatusInternalServerError:
+		// The router may try another target; a model's request can be repeated.
+		return &statusError{status: res.Status}
 	case model && err != nil:
 		return &garbageError{what: "no content type"}
 	case model && kind == eventStream:
--- a/internal/sidecar/transfer.go
+++ b/internal/sidecar/transfer.go
@@ -22,6 +22,8 @@
 	resumeTimeout = 10 * time.Second
 	// resumeEvery is the pause between two tries.
 	resumeEvery = 100 * time.Millisecond
+	// maxBroken is how many connections in a row may break off without a byte.
+	maxBroken = 3
 	// engineCancelTimeout bounds the call that stops a stream at the engine.
 	engineCancelTimeout = 2 * time.Second
 	// eventStream is the content type of a model's stream.
@@ -53,7 +55,11 @@
 	body io.ReadCloser
 	// read counts the bytes of the stream that were read.
 	read int64
-	stop context.CancelCauseFunc
+	// attempt is the context of the present connection, and stop ends it.
+	attempt context.Context
+	stop    context.CancelCauseFunc
+	// broken counts connections in a row that broke off without a byte.
+	broken int
 	// watchdog ends a connection that is silent for chunkTimeout.
 	watchdog *time.Timer
 }
@@ -90,7 +96,7 @@
 	// The old connection closes once the new one reads, so that the engine
 	// never finds the stream without a reader.
 	t.close()
-	t.body, t.stop, t.watchdog = res.Body, stop, watchdog
+	t.body, t.attempt, t.stop, t.watchdog = res.Body, ctx, stop, watchdog
 	return res, nil
 }
 
@@ -102,13 +108,13 @@
 		}
 		n, err := t.body.Read(p)
 		t.read += int64(n)
-		if n > 0 || errors.Is(err, io.EOF) {
-			return n, err
-		}
-		if err == nil {
+		switch {
+		case n > 0:
+			t.broken = 0
+			return n, nil
+		case err == nil:
 			continue
-		}
-		if t.ctx.Err() != nil || !t.streamed {
+		case errors.Is(err, io.EOF), t.ctx.Err() != nil, !t.streamed, !t.mayResume():
 			return 0, err
 		}
 		if _, err := t.resume(); err != nil { //nolint:bodyclose // close closes it
@@ -117,6 +123,17 @@
 	}
 }
 
+// mayResume reports whether a stream whose connection failed is worth another
+// one. A connection that went silent always is: the engine may still be busy.
+func (t *transfer) mayResume() bool {
+	if errors.Is(context.Cause(t.attempt), errSilent) {
+		return true
+	}
+	t.broken++
+	pause(t.ctx, resumeEvery)
+	return t.broken <= maxBroken
+}
+
 // resume takes the stream up on a new connection.
 func (t *transfer) resume() (*http.Response, error) {
 	until := time.Now().Add(resumeTimeout)
