Edit the numbered configuration by merge patches, committed by one swap

Cause: a stale patch must never overwrite a newer one, and what an operator is told of a patch must be true when the platform's answer is lost. Choice: one key holds document, digest and the last patches with their identities; a patch is one compare-and-swap, offered again under the same expected revision until the history shows it, shows another in its place, or five seconds pass. Peers pass on merge patches and check the digest; what does not lead to the digest is never applied and the whole document follows. Ruled out: a key a patch with a pointer (two writes, so a patch could be half committed); trusting a plain "no" from the platform, because a transport may have repeated a write that took effect; the parser's own errors, which stop at the first fault and let a null for an unknown field pass. Red first, each by breaking the code and restoring it: calling an open patch refused, a lost answer "unavailable", an unknown outcome accepted; ignoring If-Match or the patch's identity; not reading back a plain "no"; not checking the digest of a delta or of a document; not checking the number in the store; not checking the shape.

--- /dev/null
+++ b/internal/configstore/history_test.go
@@ -0,0 +1,207 @@
+package configstore
+
+import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+
+	"github.com/zinniaquay/zinniaquay/internal/errkind"
+	"github.com/zinniaquay/zinniaquay/internal/platform"
+)
+
+// operation is what an operator did: a patch of its own mark, or a reading.
+type operation struct {
+	read    bool
+	ifMatch uint64
+	mark    string
+}
+
+// outcome is what the operator was told.
+type outcome struct {
+	kind    errkind.Kind
+	number  uint64
+	history string
+}
+
+// register is the model that porcupine checks histories against: a list of the
+// accepted marks. A patch of unknown outcome may or may not be in it.
+var register = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{""} },
+	Step: func(state, input, output any) []any {
+		marks, in, out := state.(string), input.(operation), output.(outcome)
+		number := uint64(strings.Count(marks, ";"))
+		applied := marks + in.mark + ";"
+		switch {
+		case in.read && out.kind == "":
+			return when(out.number == number && out.history == marks, marks)
+		case in.read, out.kind == errkind.PlatformUnavailable:
+			return []any{marks}
+		case out.kind == "":
+			return when(in.ifMatch == number && out.number == number+1, applied)
+		case out.kind == errkind.StalePatch:
+			return when(in.ifMatch != number && out.number == number, marks)
+		case out.kind == errkind.OutcomeUnknown && in.ifMatch == number:
+			return []any{marks, applied}
+		case out.kind == errkind.OutcomeUnknown:
+			return []any{marks}
+		}
+		return nil
+	},
+}
+
+func when(ok bool, state string) []any {
+	if ok {
+		return []any{state}
+	}
+	return nil
+}
+
+func TestRacingOperatorsUnderLostAnswersAndOutages(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { raceOperators(t, seed) })
+		})
+	}
+}
+
+func raceOperators(t *testing.T, seed uint64) {
+	const operators, patches = 5, 8
+	is := is.New(t)
+	m := platform.NewMemory()
+	ctx, cancel := context.WithCancel(t.Context())
+	var faultsDone sync.WaitGroup
+	faultsDone.Go(func() { switchFaults(ctx, m, rand.New(rand.NewPCG(seed, 1))) })
+	h := &history{}
+	var racing sync.WaitGroup
+	for id := range operators {
+		racing.Go(func() { h.operate(t.Context(), m, id, patches, rand.New(rand.NewPCG(seed, uint64(id+2)))) })
+	}
+	racing.Wait()
+	cancel()
+	faultsDone.Wait()
+	m.SetFaults(platform.Faults{})
+	h.read(t.Context(), NewEditor(m, NewStore()), operators)
+
+	last := h.operations[len(h.operations)-1].Output.(outcome)
+	t.Logf("%d operations, %d accepted, %d unknown", len(h.operations), last.number, h.unknown())
+	is.True(last.number > 0)
+	is.True(porcupine.CheckOperations(register.ToModel(), h.operations))
+	for _, mark := range strings.Split(strings.TrimSuffix(last.history, ";"), ";") {
+		is.Equal(strings.Count(";"+last.history, ";"+mark+";"), 1) // each accepted patch is in the history once
+	}
+}
+
+// history records operations with the order in which they began and ended.
+type history struct {
+	mu         sync.Mutex
+	clock      atomic.Int64
+	operations []porcupine.Operation
+}
+
+func (h *history) record(client int, in operation, out outcome, call int64) {
+	// The effect of an unknown outcome may come at any later time.
+	ret := h.clock.Add(1)
+	if out.kind == errkind.OutcomeUnknown {
+		ret = 1 << 60
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.operations = append(h.operations, porcupine.Operation{ClientId: client, Input: in, Call: call, Output: out, Return: ret})
+}
+
+// unknown counts the outcomes that stayed unknown.
+func (h *history) unknown() int {
+	count := 0
+	for _, o := range h.operations {
+		if o.Output.(outcome).kind == errkind.OutcomeUnknown {
+			count++
+		}
+	}
+	return count
+}
+
+func (h *history) operate(ctx context.Context, m *platform.Memory, client, patches int, random *rand.Rand) {
+	editor := NewEditor(m, NewStore())
+	var number uint64
+	for i := range patches {
+		in := operation{ifMatch: number, mark: fmt.Sprintf("o%d-%d", client, i)}
+		call := h.clock.Add(1)
+		result, err := editor.Patch(ctx, number, fmt.Appendf(nil, `{"accounts":{%q:{"weight":2}}}`, in.mark))
+		out := outcome{kind: "", number: result.Number}
+		if err != nil {
+			out.kind = errkind.Of(err)
+			out.number, _ = CurrentOf(err)
+		}
+		h.record(client, in, out, call)
+		if out.number > 0 {
+			number = out.number
+		}
+		time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
+	}
+	h.read(ctx, editor, client)
+}
+
+func (h *history) read(ctx context.Context, editor *Editor, client int) {
+	call := h.clock.Add(1)
+	record, err := editor.Load(ctx)
+	if err != nil {
+		h.record(client, operation{read: true}, outcome{kind: errkind.Of(err)}, call)
+		return
+	}
+	var marks strings.Builder
+	for _, patch := range record.History() {
+		mark := strings.Split(string(patch.GetPatch()), `"`)[3]
+		marks.WriteString(mark + ";")
+	}
+	h.record(client, operation{read: true}, outcome{number: record.Number(), history: marks.String()}, call)
+}
+
+func switchFaults(ctx context.Context, m *platform.Memory, random *rand.Rand) {
+	for ctx.Err() == nil {
+		slow := time.Duration(random.IntN(50)) * time.Millisecond
+		switch random.IntN(4) {
+		case 0:
+			m.SetFaults(platform.Faults{Slow: slow, LoseWriteAnswers: true})
+		case 1:
+			m.SetFaults(platform.Faults{Down: true})
+		default:
+			m.SetFaults(platform.Faults{Slow: slow})
+		}
+		lasts := time.Duration(random.IntN(1500)) * time.Millisecond
+		if random.IntN(12) == 0 {
+			lasts += ResolveTimeout // long enough that some outcomes stay unknown
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(lasts):
+		}
+	}
+}
+
+func TestHistoryNamesEachPatchOnce(t *testing.T) {
+	is := is.New(t)
+	editor := NewEditor(platform.NewMemory(), NewStore())
+	seen := make(map[string]bool)
+	for number := range uint64(5) {
+		result, err := editor.Patch(t.Context(), number, []byte(`{"zones": {"z": {}}}`))
+		is.NoErr(err)
+		seen[result.PatchID] = true
+	}
+	record, err := editor.Load(t.Context())
+	is.NoErr(err)
+	for i, patch := range record.History() {
+		is.Equal(patch.GetNumber(), uint64(i+1))
+		is.True(seen[hex.EncodeToString(patch.GetId())])
+		is.Equal(string(patch.GetPatch()), `{"zones":{"z":{}}}`)
+	}
+}
--- a/internal/configstore/snapshot.go
+++ b/internal/configstore/snapshot.go
@@ -16,6 +16,8 @@
 	Number uint64
 	// Doc is the configuration; readers must not change it.
 	Doc *zinniaquayv1.Configuration
+	// Digest of the configuration.
+	Digest uint64
 
 	accountByKey map[string]string
 	targets      map[serviceVersion][]string
@@ -28,6 +30,7 @@
 	s := &Snapshot{
 		Number:       doc.GetNumber(),
 		Doc:          doc,
+		Digest:       Digest(doc),
 		accountByKey: make(map[string]string),
 		targets:      make(map[serviceVersion][]string),
 	}
@@ -46,6 +49,14 @@
 	return s
 }
 
+// number returns the snapshot's number, 0 for none.
+func (s *Snapshot) number() uint64 {
+	if s == nil {
+		return 0
+	}
+	return s.Number
+}
+
 // AccountByKey returns the client account that owns a key.
 func (s *Snapshot) AccountByKey(key string) (string, bool) {
 	digest := sha256.Sum256([]byte(key))
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -11,6 +11,7 @@
 type Store struct {
 	mu      sync.Mutex
 	current *Snapshot
+	deltas  deltas
 	changed chan struct{}
 }
 
@@ -27,12 +28,7 @@
 }
 
 // Number returns the number of the configuration in force, 0 for none.
-func (s *Store) Number() uint64 {
-	if c := s.Current(); c != nil {
-		return c.Number
-	}
-	return 0
-}
+func (s *Store) Number() uint64 { return s.Current().number() }
 
 // Changed returns a channel that is closed when a higher number is applied.
 func (s *Store) Changed() <-chan struct{} {
@@ -44,13 +40,26 @@
 // Apply puts a configuration in force unless its number is not above the
 // present one. It reports whether it did.
 func (s *Store) Apply(doc *zinniaquayv1.Configuration) bool {
-	next := NewSnapshot(doc)
+	return s.put(NewSnapshot(doc), deltas{last: doc.GetNumber()})
+}
+
+// ApplyRecord puts a record of the platform in force unless its number is not
+// above the present one. It reports whether it did.
+func (s *Store) ApplyRecord(r *Record) bool {
+	if r.Number() <= s.Number() {
+		return false
+	}
+	return s.put(NewSnapshot(r.Doc()), deltasOf(r))
+}
+
+// put is the only place where a configuration comes into force.
+func (s *Store) put(next *Snapshot, patches deltas) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.current != nil && next.Number <= s.current.Number {
+	if next.Number <= s.current.number() {
 		return false
 	}
-	s.current = next
+	s.current, s.deltas = next, patches
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return true
