--- a/internal/membership/list_test.go
+++ b/internal/membership/list_test.go
@@ -107,6 +107,8 @@
 	hosts := []platform.Host{{Name: "r1", Role: "router"}}
 	_, absent = l.MergeHosts(hosts, noon)
 	is.Equal(len(absent), 0)
+	_, absent = l.MergeHosts(hosts, noon.Add(AbsentFor-1))
+	is.Equal(len(absent), 0)
 	_, absent = l.MergeHosts(hosts, noon.Add(AbsentFor))
 	is.Equal(len(absent), 1)
 }
