--- /dev/null
+++ b/internal/fairness/limits.go
@@ -0,0 +1,34 @@
+package fairness
+
+// Limits are the quantities that the fairness bound is made of.
+type Limits struct {
+	// Targets is the number of targets that both accounts wait for.
+	Targets int
+	// Running is the most requests that run at one target.
+	Running int
+	// Cost is the largest service of one request, in tokens or units.
+	Cost float64
+	// Batch is the most service that an engine gives one request before the
+	// sidecar is told, in tokens.
+	Batch float64
+	// Unreported is the service that one process may keep back from the ledger.
+	Unreported float64
+	// Rate is the service that one target gives, per second.
+	Rate float64
+	// Age is the time in seconds from a report's due time until every other
+	// process has the total.
+	Age float64
+}
+
+// Gap returns the bound on the difference in virtual service received, over any
+// time in which two accounts of weight 1 or more both have requests waiting for
+// the same targets:
+//
+//	work in flight     Targets * Running * Cost
+//	+ engine batch     Targets * Running * Batch
+//	+ stale counters   Targets * (Unreported + Rate*Age)
+func (l Limits) Gap() float64 {
+	places := float64(l.Targets * l.Running)
+	stale := float64(l.Targets) * (l.Unreported + l.Rate*l.Age)
+	return places*(l.Cost+l.Batch) + stale
+}
