--- a/internal/fairness/counters.go
+++ b/internal/fairness/counters.go
@@ -173,6 +173,16 @@
 	}
 }
 
+// Spread returns the difference in virtual service between the most and the
+// least served account that wait here, running requests not counted for the
+// former; 0 if fewer than two wait.
+func (c *Counters) Spread() float64 {
+	if len(c.order) < 2 {
+		return 0
+	}
+	return math.Max(0, c.lead[0].settled()-c.order[0].settled())
+}
+
 // Changed passes each account whose own service or lift changed since the last
 // call, and each that waits here, to visit.
 func (c *Counters) Changed(visit func(View)) {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -26,6 +26,9 @@
 	if err := flag.Set("rapid.seed", "4"); err != nil {
 		panic(err)
 	}
+	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
+		panic(err)
+	}
 	os.Exit(m.Run())
 }
 
