--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -50,10 +50,8 @@
 	state state
 	// handouts counts how often the request was handed out.
 	handouts int
-	// placed names the targets that hold a reservation of this hand-out.
-	placed map[string]struct{}
-	// placeAt is when more reservations are due.
-	placeAt time.Time
+	// reserved counts the reservations that name this hand-out.
+	reserved int
 	// granted carries the holder of each hand-out to the caller's goroutine.
 	granted chan holder
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -142,8 +142,7 @@
 	defer r.mu.Unlock()
 	req.state = waiting
 	req.handouts++
-	req.placed = nil
-	req.placeAt = time.Time{}
+	req.reserved = 0
 	r.running--
 	r.queues.pushFront(req)
 	r.placer.poke()
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -19,9 +19,10 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	k := queueKey{c.GetAccount(), target.GetService(), target.GetVersion()}
 	req := r.queues.find(c.GetRequestId())
 	if req == nil || !serves(target, req) || !now.Before(req.deadline) {
-		return &zinniaquayv1.ClaimResponse{}, nil
+		return &zinniaquayv1.ClaimResponse{Next: r.placer.reserve(k, c.GetTarget(), now)}, nil
 	}
 	r.queues.remove(req)
 	r.running++
@@ -31,8 +32,8 @@
 		handoutID:   c.GetRequestId(),
 		incarnation: c.GetIncarnation(),
 	}, now)
-	r.placer.poke()
-	return &zinniaquayv1.ClaimResponse{Granted: true, Request: work, Next: r.nextFor(target, req, c.GetTarget())}, nil
+	// A backlogged account so needs no round of its own for its next request.
+	return &zinniaquayv1.ClaimResponse{Granted: true, Request: work, Next: r.placer.reserve(key(req), c.GetTarget(), now)}, nil
 }
 
 // serves reports whether a target may serve a request.
@@ -40,18 +41,6 @@
 	return t.GetService() == req.service && t.GetVersion() == req.version
 }
 
-// nextFor returns a reservation of the request that waits behind one that was
-// claimed, so that a backlogged account needs no round of its own to place it.
-// The caller holds the lock.
-func (r *Router) nextFor(t *zinniaquayv1.Target, claimed *request, name string) *zinniaquayv1.Reservation {
-	heads := r.queues.heads(queueKey{claimed.account, t.GetService(), t.GetVersion()}, 1)
-	if len(heads) == 0 {
-		return nil
-	}
-	heads[0].place(name)
-	return heads[0].reservation(r.opts.Addr)
-}
-
 // Sample implements the RPC: it lists heads of queues that a target may serve,
 // at most one an account.
 func (r *Router) Sample(_ context.Context, s *zinniaquayv1.SampleRequest) (*zinniaquayv1.SampleResponse, error) {
@@ -75,17 +64,8 @@
 			break
 		}
 		if serves(target, queue[0]) {
-			queue[0].place(name)
-			found = append(found, queue[0].reservation(r.opts.Addr))
+			found = append(found, r.placer.reserve(key(queue[0]), name, time.Now()))
 		}
 	}
 	return found
 }
-
-// place notes that a target holds a reservation of the request.
-func (r *request) place(target string) {
-	if r.placed == nil {
-		r.placed = make(map[string]struct{})
-	}
-	r.placed[target] = struct{}{}
-}
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -31,34 +31,52 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if !s.mayStart() || s.waiting.len() == 0 || s.gate.Room(now) <= 0 {
+	s.gate.SetBounds(boundsOf(s.opts.Store.Current(), s.opts.Target))
+	if !s.mayStart() || s.gate.Room(now) <= 0 {
 		return false
 	}
-	res := s.waiting.pop(s.counters.Pick(s.waiting.accounts()))
-	if _, known := s.jobs[res.GetRequestId()]; known {
+	res, ok := s.waiting.next()
+	if !ok {
+		return false
+	}
+	if s.has(res.GetRequestId()) {
 		return true
 	}
 	j := &job{id: res.GetRequestId(), account: res.GetAccount(), claimedAt: now, answer: newBuffer()}
+	j.receipt.charge = s.counters.Start(j.account, res.GetCostHint())
 	s.jobs[j.id] = j
 	s.gate.Start(now)
-	s.runs.Go(func() { s.claim(ctx, j, res) })
+	newest := s.waiting.last()
+	s.runs.Go(func() { s.claim(ctx, j, res.Reservation, newest) })
 	return true
 }
 
-// claim asks the router for a request and runs it if it is handed out.
-func (s *Sidecar) claim(ctx context.Context, j *job, res *zinniaquayv1.Reservation) {
+// has reports whether a request is claimed here, runs or has run. One whose
+// claim failed may be claimed again: if the router had handed it out, it waits
+// no longer under the same identity, and the second claim hears that it is gone.
+// The caller holds the lock.
+func (s *Sidecar) has(id string) bool {
+	j, ok := s.jobs[id]
+	return ok && (j.state != ended || j.ran())
+}
+
+// claim asks the router for a request and runs it if it is handed out. newest
+// is the number of the newest reservation when the claim began.
+func (s *Sidecar) claim(ctx context.Context, j *job, res *zinniaquayv1.Reservation, newest uint64) {
 	answer, err := s.opts.Pool.Get(res.GetRouterAddr()).Router.Claim(ctx, &zinniaquayv1.ClaimRequest{
 		RequestId:   res.GetRequestId(),
 		Target:      s.opts.Target,
 		Incarnation: s.opts.Incarnation,
+		Account:     res.GetAccount(),
 	})
-	if next := answer.GetNext(); next != nil {
-		s.keep(next)
+	if err == nil {
+		s.renew(res, answer.GetNext(), newest)
 	}
 	if err != nil || !answer.GetGranted() {
 		s.abandon(j, "claim was not granted")
 		return
 	}
+	s.askTarget(ctx)
 	run, ok := s.begin(j, answer.GetRequest())
 	if !ok {
 		s.abandon(j, "claim was granted too late")
@@ -67,12 +85,25 @@
 	s.run(run, j, answer.GetRequest())
 }
 
-// keep takes a reservation that came with the answer to a claim.
+// renew puts the next reservation of an account in the place of one that was
+// claimed. Without a next one nothing of the account waits at the router, and
+// what it had placed up to the claim is gone.
+func (s *Sidecar) renew(claimed, next *zinniaquayv1.Reservation, newest uint64) {
+	if next != nil {
+		s.keep(next)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting.drop(claimed.GetAccount(), claimed.GetRouterAddr(), newest)
+}
+
+// keep takes a reservation that a router answered with.
 func (s *Sidecar) keep(res *zinniaquayv1.Reservation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, known := s.jobs[res.GetRequestId()]; !known {
-		s.waiting.add(res)
+	if !s.has(res.GetRequestId()) {
+		s.waiting.add(time.Now(), res)
 	}
 }
 
@@ -82,12 +113,13 @@
 func (s *Sidecar) begin(j *job, work *zinniaquayv1.WorkRequest) (context.Context, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if j.state != claiming || time.Since(j.claimedAt) > rpc.CallTimeout || !s.mayStart() {
+	if j.state != claiming || time.Since(j.claimedAt) > rpc.CallTimeout || !s.mayStart() || s.gate.Over(time.Now()) {
 		return nil, false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(work.GetTimeoutMs())*time.Millisecond)
 	j.state = started
 	j.stop = cancel
+	j.receipt.startedAt = time.Now()
 	return ctx, true
 }
 
@@ -96,6 +128,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	j.bar(time.Now(), why)
+	j.receipt.charge.Settle()
 	s.gate.Finish(time.Now(), capacity.NeverStarted)
 	s.poke()
 }
--- a/internal/sidecar/job.go
+++ b/internal/sidecar/job.go
@@ -34,6 +34,7 @@
 	claimedAt time.Time
 	endedAt   time.Time
 	answer    *buffer
+	receipt   receipt
 	// stop cancels the run; it is set when the job has started.
 	stop context.CancelFunc
 }
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -25,9 +25,10 @@
 	defer s.mu.Unlock()
 	res := &zinniaquayv1.ReserveResponse{}
 	for _, r := range req.GetReservations() {
-		if s.draining || !s.waiting.add(r) {
+		if s.draining || !s.waiting.add(time.Now(), r) {
 			break
 		}
+		s.routers.note(r.GetRouterAddr())
 		res.Accepted++
 	}
 	res.Room = uint32(max(0, s.gate.Room(time.Now())))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -9,20 +9,18 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/capacity"
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
 	"github.com/zinniaquay/zinniaquay/internal/fairness"
+	"github.com/zinniaquay/zinniaquay/internal/ledger"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
 )
 
 const (
-	// defaultColdRunning is how many requests a cold target may run.
-	defaultColdRunning = 1
-	// defaultMaxRunning is how many requests a warm target may run.
-	defaultMaxRunning = 16
 	// sweepEvery is how often ended jobs are dropped.
 	sweepEvery = time.Second
 	// linger is how long an ended answer is kept for a router to resume.
@@ -43,6 +41,18 @@
 	Pool *rpc.Pool
 	// Log takes structured logs.
 	Log logr.Logger
+	// Name of the process, unique in the fleet.
+	Name string
+	// Metrics takes metrics. Default a registry of its own.
+	Metrics metrics.Registry
+	// Holder keeps this process's part of the ledger. Without one the order of
+	// client accounts is that of the service given here alone.
+	Holder *ledger.Holder
+	// Members names the processes that hold parts of the ledger.
+	Members func() []ledger.Member
+	// Routers names the addresses (IP:port) of routers to sample beside those
+	// that have placed reservations here. Default none.
+	Routers func() []string
 }
 
 // Sidecar is the process beside one target.
@@ -56,6 +66,7 @@
 	gate     *capacity.Gate
 	counters *fairness.Counters
 	waiting  *reservations
+	routers  *routers
 	jobs     map[string]*job
 	draining bool
 }
@@ -66,29 +77,18 @@
 		opts:    o,
 		engine:  newEngine(o.TargetURL),
 		wake:    make(chan struct{}, 1),
-		gate:    newGate(o.Store.Current(), o.Target),
-		waiting: newReservations(),
+		gate:    capacity.New(time.Now(), boundsOf(o.Store.Current(), o.Target)),
+		routers: newRouters(o.Routers),
 		jobs:    make(map[string]*job),
 	}
+	if o.Metrics == nil {
+		s.opts.Metrics = metrics.NewRegistry()
+	}
 	s.counters = fairness.New(s.weight)
+	s.waiting = newReservations(s.counters)
 	return s
 }
 
-// newGate returns the gate for a target as the configuration declares it.
-func newGate(snap *configstore.Snapshot, target string) *capacity.Gate {
-	cold, warm := defaultColdRunning, defaultMaxRunning
-	if snap != nil {
-		t := snap.Doc.GetTargets()[target]
-		if n := int(t.GetColdRunning()); n > 0 {
-			cold = n
-		}
-		if n := int(t.GetMaxRunning()); n > 0 {
-			warm = n
-		}
-	}
-	return capacity.New(cold, warm)
-}
-
 // weight returns the weight of a client account in the configuration in force.
 func (s *Sidecar) weight(account string) float64 {
 	if snap := s.opts.Store.Current(); snap != nil {
@@ -99,8 +99,14 @@
 
 // Run does the sidecar's duties until the context ends.
 func (s *Sidecar) Run(ctx context.Context) {
+	s.mu.Lock()
+	s.gate.AwaitLoad(time.Now(), awaitLoad)
+	s.mu.Unlock()
 	var duties conc.WaitGroup
 	duties.Go(func() { s.dispatch(ctx) })
+	duties.Go(func() { s.watchTarget(ctx) })
+	duties.Go(func() { s.sample(ctx) })
+	duties.Go(func() { s.report(ctx) })
 	duties.Go(func() { s.sweep(ctx) })
 	duties.Wait()
 }
@@ -165,6 +171,7 @@
 func (s *Sidecar) dropOld(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.waiting.expire(now)
 	for id, j := range s.jobs {
 		if j.state == ended && now.Sub(j.endedAt) > linger {
 			delete(s.jobs, id)
@@ -181,5 +188,7 @@
 		Waiting:             uint64(s.waiting.len()),
 		Running:             uint64(s.gate.Running()),
 		Window:              uint64(s.gate.Window()),
+		Cold:                s.gate.Cold(time.Now()),
+		Totals:              s.totals(),
 	}
 }
