--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -42,7 +42,7 @@
 	if s.has(res.GetRequestId()) {
 		return true
 	}
-	j := &job{id: res.GetRequestId(), account: res.GetAccount(), claimedAt: now, answer: newBuffer()}
+	j := &job{id: res.GetRequestId(), account: res.GetAccount(), claimedAt: now, answer: newBuffer(s.budget)}
 	j.receipt.charge = s.counters.Start(j.account, res.GetCostHint())
 	s.jobs[j.id] = j
 	s.gate.Start(now)
@@ -113,6 +113,7 @@
 func (s *Sidecar) begin(j *job, work *zinniaquayv1.WorkRequest) (context.Context, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	j.granted = true
 	if j.state != claiming || time.Since(j.claimedAt) > rpc.CallTimeout || !s.mayStart() || s.gate.Over(time.Now()) {
 		return nil, false
 	}
