--- a/internal/standin/target/chat.go
+++ b/internal/standin/target/chat.go
@@ -15,7 +15,7 @@
 
 var (
 	errFault       = errors.New("the target failed as it was told to")
-	errDuplicateID = errors.New("a request with this ID is or was running")
+	errDuplicateID = errors.New("a request with this ID is running")
 )
 
 // run is one request in the engine.
@@ -69,14 +69,14 @@
 	if err != nil {
 		cancel()
 		st.end(true)
-		e.streams.retire(id)
+		e.streams.retire(id, st)
 		return nil, http.StatusInternalServerError, err
 	}
 	started := &run{NewAnswer(request, id, e.orders.snapshot().Version), st, fallen, e.faults.get()}
 	e.runs.Go(func() {
 		defer cancel()
 		defer e.batch.leave()
-		defer e.streams.retire(id)
+		defer e.streams.retire(id, st)
 		e.generate(ctx, started)
 	})
 	return started, http.StatusOK, nil
