--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -17,6 +17,7 @@
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
 	"github.com/zinniaquay/zinniaquay/internal/errkind"
+	"github.com/zinniaquay/zinniaquay/internal/telemetry"
 )
 
 const (
@@ -76,7 +77,8 @@
 		if err == nil {
 			return
 		}
-		r.opts.Log.Info("request refused", "request", id, "kind", errkind.Of(err), "err", err.Error())
+		r.refusals.add(errkind.Of(err))
+		r.opts.Log.Info("request refused", telemetry.KeyRequest, id, "kind", errkind.Of(err), "err", err.Error())
 		if errors.Is(err, errAnswerBegun) {
 			// An answer that was begun must not look complete.
 			panic(http.ErrAbortHandler)
--- a/internal/router/queues.go
+++ b/internal/router/queues.go
@@ -87,5 +87,14 @@
 // waitingOf returns how many requests of an account wait.
 func (q *queues) waitingOf(account string) int { return q.perAcct[account] }
 
+// waitingByAccount returns how many requests of each account wait.
+func (q *queues) waitingByAccount() map[string]uint64 {
+	out := make(map[string]uint64, len(q.perAcct))
+	for account, n := range q.perAcct {
+		out[account] = uint64(n)
+	}
+	return out
+}
+
 // len returns how many requests wait.
 func (q *queues) len() int { return len(q.byID) }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
@@ -38,12 +39,15 @@
 	Pool *rpc.Pool
 	// Log takes structured logs.
 	Log logr.Logger
+	// Registry takes the metrics; nil for a registry of the router's own.
+	Registry metrics.Registry
 }
 
 // Router is the process between callers and sidecars.
 type Router struct {
-	opts   Options
-	placer *placer
+	opts     Options
+	placer   *placer
+	refusals *refusals
 
 	mu       sync.Mutex
 	queues   *queues
@@ -53,7 +57,10 @@
 
 // New returns a router that places nothing until Run.
 func New(o Options) *Router {
-	r := &Router{opts: o, queues: newQueues()}
+	if o.Registry == nil {
+		o.Registry = metrics.NewRegistry()
+	}
+	r := &Router{opts: o, queues: newQueues(), refusals: newRefusals(o.Registry)}
 	r.placer = newPlacer(r)
 	return r
 }
@@ -165,5 +172,7 @@
 		ConfigurationNumber: r.opts.Store.Number(),
 		Waiting:             uint64(r.queues.len()),
 		Running:             uint64(r.running),
+		Refused:             r.refusals.totals(),
+		WaitingByAccount:    r.queues.waitingByAccount(),
 	}
 }
