Bound the report page at the size to design for

With 6,200 accounts and 970 processes the page would be some megabytes, too much for a phone on the road: it now shows 50 of each, the least served accounts and the processes in trouble, and says how many are left out.

--- a/internal/report/build.go
+++ b/internal/report/build.go
@@ -99,13 +99,13 @@
 		list = append(list, a)
 	}
 	slices.SortFunc(list, func(a, b Account) int {
-		return cmp.Or(cmp.Compare(a.share(), b.share()), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(a.Share(), b.Share()), cmp.Compare(a.Name, b.Name))
 	})
 	return list
 }
 
-// share returns the recent service divided by the weight.
-func (a Account) share() float64 { return a.Recent / a.Weight }
+// Share returns the recent service divided by the weight.
+func (a Account) Share() float64 { return a.Recent / a.Weight }
 
 func waitingByAccount(answers map[string]answer) map[string]uint64 {
 	waiting := make(map[string]uint64)
@@ -125,7 +125,7 @@
 		return Gap{}
 	}
 	least, most := backlogged[0], backlogged[len(backlogged)-1]
-	return Gap{Service: most.share() - least.share(), Most: most.Name, Least: least.Name}
+	return Gap{Service: most.Share() - least.Share(), Most: most.Name, Least: least.Name}
 }
 
 func zones(config *zinniaquayv1.Configuration, answers map[string]answer) []Zone {
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -145,3 +145,17 @@
 	rounds[1].waiting["b"] = true
 	is.Equal(gapOf(accounts(nil, nil, rounds), true), Gap{Service: 8, Most: "a", Least: "b"})
 }
+
+func TestPageOfALargeFleetStaysShortAndShowsTroubleFirst(t *testing.T) {
+	is := is.New(t)
+	r := &Report{Accounts: make([]Account, 200)}
+	for range 100 {
+		r.Processes = append(r.Processes, ProcessRow{Name: "sound", State: "live"})
+	}
+	r.Processes = append(r.Processes, ProcessRow{Name: "trouble", State: stateSilent})
+	short, accounts, processes := shortened(r)
+	is.Equal(len(short.Accounts), maxRows)
+	is.Equal(accounts, 150)
+	is.Equal(short.Processes[0].Name, "trouble")
+	is.Equal(processes, 51)
+}
