--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -58,7 +58,8 @@
 	placer   *placer
 	releaser *releaser
 	// keys is nil without a key-value service.
-	keys *idempotency.Keys
+	keys     *idempotency.Keys
+	refusals *refusals
 
 	mu       sync.Mutex
 	retries  *retry.Budget
@@ -75,7 +76,7 @@
 	if o.MaxWaiting <= 0 {
 		o.MaxWaiting = defaultMaxWaitingInAll
 	}
-	r := &Router{opts: o, queues: newQueues(), retries: retry.NewBudget(time.Now())}
+	r := &Router{opts: o, queues: newQueues(), retries: retry.NewBudget(time.Now()), refusals: newRefusals(o.Registry)}
 	r.placer = newPlacer(r)
 	r.releaser = newReleaser(o)
 	if o.KV != nil {
@@ -223,5 +224,7 @@
 		ConfigurationNumber: r.opts.Store.Number(),
 		Waiting:             uint64(r.queues.len()),
 		Running:             uint64(r.running),
+		Refused:             r.refusals.totals(),
+		WaitingByAccount:    r.queues.waitingByAccount(),
 	}
 }
