Join processes to the ledger of service and their list of members

Cause: the order of client accounts has to follow the fleet's totals, not the sidecar's own. Result: every process holds a part of the ledger; sidecars report to it and sample the live routers; a process that drains announces that it leaves.

--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -19,6 +19,8 @@
 	"github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1/zinniaquayv1connect"
 	"github.com/zinniaquay/zinniaquay/internal/clock"
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
+	"github.com/zinniaquay/zinniaquay/internal/ledger"
+	"github.com/zinniaquay/zinniaquay/internal/membership"
 	"github.com/zinniaquay/zinniaquay/internal/platform"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
 	"github.com/zinniaquay/zinniaquay/internal/settings"
@@ -45,10 +47,14 @@
 	events      *timeline.Recorder
 	incarnation uint64
 	listener    net.Listener
+	// members is what the process knows of the fleet.
+	members *membership.List
+	// holder keeps this process's part of the ledger of service.
+	holder *ledger.Holder
 }
 
 // newBase opens the listener for peers and puts the common parts together.
-func newBase(s *zinniaquayv1.ProcessSettings, log logr.Logger) (*base, error) {
+func newBase(s *zinniaquayv1.ProcessSettings, role zinniaquayv1.Member_Role, target string, log logr.Logger) (*base, error) {
 	token, err := settings.LoadSecret(s.GetFleetTokenFile())
 	if err != nil {
 		return nil, fmt.Errorf("fleet token: %w", err)
@@ -74,6 +80,8 @@
 		ConfigurationNumber: b.store.Number,
 	}
 	b.pool = rpc.NewPool(b.node)
+	b.members = membership.NewList(b.member(role, target))
+	b.holder = ledger.NewHolder(s.GetName(), b.incarnation)
 	b.events = timeline.NewRecorder(s.GetName(), timelineEvents, func() uint64 { return uint64(b.clock.Now()) }, b.registry)
 	return b, nil
 }
@@ -90,6 +98,26 @@
 	}
 }
 
+// ledgerMembers returns the processes that hold parts of the ledger.
+func (b *base) ledgerMembers() []ledger.Member {
+	var members []ledger.Member
+	for _, m := range b.members.All() {
+		if m.GetState() == zinniaquayv1.Member_live {
+			members = append(members, ledger.Member{Name: m.GetName(), Addr: m.GetAddr()})
+		}
+	}
+	return members
+}
+
+// routerAddrs returns the addresses (IP:port) of live routers.
+func (b *base) routerAddrs() []string {
+	var addrs []string
+	for _, m := range b.members.Live(zinniaquayv1.Member_router) {
+		addrs = append(addrs, m.GetAddr())
+	}
+	return addrs
+}
+
 // interceptors returns the options that every handler for peers takes.
 func (b *base) interceptors() connect.HandlerOption {
 	return connect.WithInterceptors(b.node.Interceptor())
@@ -99,9 +127,20 @@
 type peerService struct {
 	zinniaquayv1connect.UnimplementedPeerServiceHandler
 	events *timeline.Recorder
+	holder *ledger.Holder
 	status func() *zinniaquayv1.StatusResponse
 }
 
+// peerService returns the service with the status of a router or sidecar.
+func (b *base) peerService(status func() *zinniaquayv1.StatusResponse) *peerService {
+	return &peerService{events: b.events, holder: b.holder, status: status}
+}
+
+// ReportService implements the RPC.
+func (p *peerService) ReportService(ctx context.Context, req *zinniaquayv1.ReportServiceRequest) (*zinniaquayv1.ReportServiceResponse, error) {
+	return p.holder.ReportService(ctx, req)
+}
+
 // Events implements the RPC.
 func (p *peerService) Events(ctx context.Context, req *zinniaquayv1.EventsRequest) (*zinniaquayv1.EventsResponse, error) {
 	return p.events.Events(ctx, req)
--- a/internal/process/router.go
+++ b/internal/process/router.go
@@ -25,7 +25,7 @@
 
 // NewRouter opens the listeners of a router.
 func NewRouter(s *zinniaquayv1.RouterSettings, log logr.Logger) (*Router, error) {
-	b, err := newBase(s.GetProcess(), log)
+	b, err := newBase(s.GetProcess(), zinniaquayv1.Member_router, "", log)
 	if err != nil {
 		return nil, err
 	}
@@ -73,6 +73,7 @@
 
 // drain lets what the router holds come to its end.
 func (p *Router) drain() {
+	p.members.SetSelf(zinniaquayv1.Member_leaving)
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.GetDrainTimeout().AsDuration())
 	defer cancel()
 	if err := p.router.Drain(ctx); err != nil {
@@ -93,13 +94,13 @@
 func (p *Router) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(zinniaquayv1connect.NewRouterServiceHandler(p.router, p.interceptors()))
-	mux.Handle(zinniaquayv1connect.NewPeerServiceHandler(&peerService{events: p.events, status: p.status}, p.interceptors()))
+	mux.Handle(zinniaquayv1connect.NewPeerServiceHandler(p.peerService(p.status), p.interceptors()))
 	return mux
 }
 
 // status returns what the process knows of itself.
 func (p *Router) status() *zinniaquayv1.StatusResponse {
 	s := p.router.Status()
-	s.Member = p.member(zinniaquayv1.Member_router, "")
+	s.Member = p.members.Self()
 	return s
 }
--- a/internal/process/sidecar.go
+++ b/internal/process/sidecar.go
@@ -22,7 +22,7 @@
 
 // NewSidecar opens the listener of a sidecar.
 func NewSidecar(s *zinniaquayv1.SidecarSettings, log logr.Logger) (*Sidecar, error) {
-	b, err := newBase(s.GetProcess(), log)
+	b, err := newBase(s.GetProcess(), zinniaquayv1.Member_sidecar, s.GetTarget(), log)
 	if err != nil {
 		return nil, err
 	}
@@ -35,6 +35,11 @@
 		Pool:        b.pool,
 		Log:         log,
 		BufferBytes: s.GetBufferBytes(),
+		Name:        s.GetProcess().GetName(),
+		Metrics:     b.registry,
+		Holder:      b.holder,
+		Members:     b.ledgerMembers,
+		Routers:     b.routerAddrs,
 	})
 	return p, nil
 }
@@ -61,6 +66,7 @@
 
 // drain lets what the sidecar runs come to its end.
 func (p *Sidecar) drain() {
+	p.members.SetSelf(zinniaquayv1.Member_leaving)
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.GetDrainTimeout().AsDuration())
 	defer cancel()
 	if err := p.sidecar.Drain(ctx); err != nil {
@@ -72,13 +78,13 @@
 func (p *Sidecar) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(zinniaquayv1connect.NewSidecarServiceHandler(p.sidecar, p.interceptors()))
-	mux.Handle(zinniaquayv1connect.NewPeerServiceHandler(&peerService{events: p.events, status: p.status}, p.interceptors()))
+	mux.Handle(zinniaquayv1connect.NewPeerServiceHandler(p.peerService(p.status), p.interceptors()))
 	return mux
 }
 
 // status returns what the process knows of itself.
 func (p *Sidecar) status() *zinniaquayv1.StatusResponse {
 	s := p.sidecar.Status()
-	s.Member = p.member(zinniaquayv1.Member_sidecar, p.settings.GetTarget())
+	s.Member = p.members.Self()
 	return s
 }
