--- a/internal/fairness/limits.go
+++ b/internal/fairness/limits.go
@@ -32,3 +32,15 @@
 	stale := float64(l.Targets) * (l.Unreported + l.Rate*l.Age)
 	return places*(l.Cost+l.Batch) + stale
 }
+
+// creditParts is the number of times that an account may trail by what the
+// fleet's places hold at the mean cost of a request. Too little takes service
+// from accounts that never went idle; the design note has the figures.
+const creditParts = 4
+
+// Credit returns the virtual service by which an account may trail the most
+// served account that waits beside it: several times what the fleet's places
+// hold at the mean cost of a request.
+func Credit(places int, meanCost float64) float64 {
+	return float64(places) * meanCost * creditParts
+}
