--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -51,14 +51,12 @@
 	state state
 	// handouts counts how often the request was handed out.
 	handouts int
+	// reserved counts the reservations that name this hand-out.
+	reserved int
 	// retries counts hand-outs that may have run before another one.
 	retries int
 	// withdrawn says that the request left its queue without a hand-out.
 	withdrawn bool
-	// placed names the targets that hold a reservation of this hand-out.
-	placed map[string]struct{}
-	// placeAt is when more reservations are due.
-	placeAt time.Time
 	// granted carries the holder of each hand-out to the caller's goroutine.
 	granted chan holder
 }
--- /dev/null
+++ b/internal/sidecar/fair.go
@@ -0,0 +1,94 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
+	"github.com/zinniaquay/zinniaquay/internal/fairness"
+	"github.com/zinniaquay/zinniaquay/internal/ledger"
+)
+
+// tokenService is what one token of a stream is charged. An answer that comes
+// whole is charged at once, and tells nothing of the time to its first token.
+const tokenService = 1
+
+// receipt is what a job has received, as fairness and capacity count it.
+type receipt struct {
+	charge    *fairness.Charge
+	startedAt time.Time
+	heard     bool
+}
+
+// charge adds service to a job's account as the target generates it.
+func (s *Sidecar) charge(j *job, service float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if !j.receipt.heard && service == tokenService {
+		s.gate.ObserveFirstToken(now, now.Sub(j.receipt.startedAt))
+	}
+	j.receipt.heard = true
+	s.gate.ObserveProgress(now)
+	j.receipt.charge.Add(service)
+}
+
+// totals returns the service that this process gave, by account. The caller
+// holds the lock.
+func (s *Sidecar) totals() []*zinniaquayv1.ServiceTotal {
+	var totals []*zinniaquayv1.ServiceTotal
+	s.counters.All(func(v fairness.View) {
+		totals = append(totals, &zinniaquayv1.ServiceTotal{Account: v.Account, Service: v.Own, Lift: v.Lift})
+	})
+	return totals
+}
+
+// report does the ledger's duty until the context ends.
+func (s *Sidecar) report(ctx context.Context) {
+	if s.opts.Holder == nil || s.opts.Members == nil {
+		return
+	}
+	d := &ledger.Duty{
+		Self:        ledger.Member{Name: s.opts.Name},
+		Incarnation: s.opts.Incarnation,
+		Holder:      s.opts.Holder,
+		Members:     s.opts.Members,
+		Book:        &book{s},
+		Call: func(ctx context.Context, addr string, req *zinniaquayv1.ReportServiceRequest) (*zinniaquayv1.ReportServiceResponse, error) {
+			return s.opts.Pool.Get(addr).Peer.ReportService(ctx, req)
+		},
+		Metrics: s.opts.Metrics,
+	}
+	d.Run(ctx)
+}
+
+// book is the sidecar's account of service as the ledger sees it.
+type book struct{ sidecar *Sidecar }
+
+// Collect implements ledger.Book.
+func (b *book) Collect(note func(ledger.Local)) {
+	s := b.sidecar
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	contended := s.counters.Waiting() > 1
+	s.counters.Changed(func(v fairness.View) {
+		note(ledger.Local{
+			Account: v.Account, Service: v.Own, Lift: v.Lift,
+			Waiting: v.Waiting, Contended: v.Waiting && contended,
+		})
+	})
+	metrics.GetOrRegisterGauge("fairness_waiting_accounts", s.opts.Metrics).Update(int64(s.counters.Waiting()))
+	metrics.GetOrRegisterGaugeFloat64("fairness_spread_service", s.opts.Metrics).Update(s.counters.Spread())
+}
+
+// Merge implements ledger.Book.
+func (b *book) Merge(totals []ledger.Total) {
+	s := b.sidecar
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range totals {
+		s.counters.Merge(t.Account, t.Others, t.Lift)
+	}
+}
--- a/internal/sidecar/job.go
+++ b/internal/sidecar/job.go
@@ -35,6 +35,7 @@
 	claimedAt time.Time
 	endedAt   time.Time
 	answer    *buffer
+	receipt   receipt
 	// granted says that the router handed the request out to this sidecar and
 	// waits for its answer.
 	granted bool
