--- a/internal/sidecar/events.go
+++ b/internal/sidecar/events.go
@@ -80,7 +80,7 @@
 	if bytes.Equal(data, doneEvent) {
 		return true, nil
 	}
-	if len(data) == 0 || data[0] != '{' {
+	if len(data) == 0 || data[0] != '{' || !json.Valid(data) {
 		return false, &garbageError{what: "an event that is not JSON"}
 	}
 	m.event(data)
