Count unreported service for every reporter when ordering accounts

All sidecars learn of the same arrears at once and each made up for them in full, so the order swung by the fleet's rate times the age of totals. A sidecar now counts its own service since the last answer once for each reporter.

--- a/internal/fairness/counters.go
+++ b/internal/fairness/counters.go
@@ -121,15 +121,28 @@
 	return best.account
 }
 
-// Merge takes over what the ledger knows of an account: service that other
-// processes gave it, and its lift in virtual service. Both only rise, so that
-// repeats and reordering do no harm.
-func (c *Counters) Merge(account string, others, lift float64) {
+// Fleet is what the ledger knows of an account.
+type Fleet struct {
+	// Others is the service that other processes gave.
+	Others float64
+	// Own is this process's own service as the ledger knows it.
+	Own float64
+	// Lift is the account's lift in virtual service.
+	Lift float64
+	// Reporters is the number of processes that have reported service.
+	Reporters int
+}
+
+// Merge takes over what the ledger knows of an account. Totals and lift only
+// rise, so that repeats and reordering do no harm.
+func (c *Counters) Merge(account string, fleet Fleet) {
 	e := c.entry(account)
 	e.known = true
 	e.provisional = 0
-	e.others = math.Max(e.others, others)
-	e.fleetLift = math.Max(e.fleetLift, lift)
+	e.others = math.Max(e.others, fleet.Others)
+	e.reported = math.Max(e.reported, fleet.Own)
+	e.fleetLift = math.Max(e.fleetLift, fleet.Lift)
+	e.reporters = max(1, fleet.Reporters)
 	c.moved(e)
 	c.levelUp()
 }
--- a/internal/fairness/counters_test.go
+++ b/internal/fairness/counters_test.go
@@ -102,8 +102,8 @@
 	is := is.New(t)
 	c := New(equalWeights)
 	c.SetCredit(1000)
-	c.Merge("busy", 1e9, 0)
-	c.Merge("idle", 5, 0)
+	c.Merge("busy", Fleet{Others: 1e9})
+	c.Merge("idle", Fleet{Others: 5})
 	c.Wait("busy")
 	c.Wait("idle")
 	is.Equal(c.View("idle").Virtual, 1e9-1000)
@@ -114,9 +114,9 @@
 	is := is.New(t)
 	c := New(equalWeights)
 	c.SetCredit(1000)
-	c.Merge("alone", 1e9, 0)
-	c.Merge("other", 100, 0)
-	c.Merge("newcomer", 0, 0)
+	c.Merge("alone", Fleet{Others: 1e9})
+	c.Merge("other", Fleet{Others: 100})
+	c.Merge("newcomer", Fleet{Others: 0})
 	c.Wait("alone")
 	c.Wait("newcomer") // lifted beside the account that ran alone
 	c.Unwait("alone")
@@ -127,14 +127,14 @@
 func TestUnknownAccountStandsLevelAndSharesNoLift(t *testing.T) {
 	is := is.New(t)
 	c := New(equalWeights)
-	c.Merge("known", 5000, 0)
+	c.Merge("known", Fleet{Others: 5000})
 	c.Wait("known")
 	c.Wait("unknown")
 	is.Equal(c.View("unknown").Virtual, 5000.0)
 	is.Equal(c.View("unknown").Lift, 0.0)
-	c.Merge("known", 1e9, 0)
+	c.Merge("known", Fleet{Others: 1e9})
 	is.Equal(c.View("unknown").Lift, 0.0) // lifted here alone: its total may be high already
-	c.Merge("unknown", 9000, 0)
+	c.Merge("unknown", Fleet{Others: 9000})
 	is.Equal(c.View("unknown").Others, 9000.0)
 	is.Equal(c.View("unknown").Virtual, 1e9-DefaultCredit) // the ledger's word replaces the guess
 }
@@ -145,7 +145,7 @@
 		c := New(equalWeights)
 		top := 0.0
 		for _, total := range totals {
-			c.Merge("a", total, 0)
+			c.Merge("a", Fleet{Others: total})
 			top = math.Max(top, total)
 			if got := c.View("a").Others; got != top {
 				t.Fatalf("others = %v after %v, want %v", got, total, top)
@@ -242,7 +242,7 @@
 		c := New(func(a string) float64 { return weights[a] })
 		c.SetCredit(credit)
 		for _, n := range names {
-			c.Merge(n, 0, 0)
+			c.Merge(n, Fleet{Others: 0})
 			c.Wait(n)
 		}
 		stations = append(stations, &station{counters: c})
@@ -259,7 +259,8 @@
 			lift = math.Max(lift, s.counters.View(n).Lift)
 		}
 		for _, s := range stations {
-			s.counters.Merge(n, total-s.counters.View(n).Own, lift)
+			own := s.counters.View(n).Own
+			s.counters.Merge(n, Fleet{Others: total - own, Own: own, Lift: lift, Reporters: len(stations)})
 		}
 	}
 }
--- a/internal/fairness/entry.go
+++ b/internal/fairness/entry.go
@@ -1,5 +1,7 @@
 package fairness
 
+import "math"
+
 // entry is the state of one account.
 type entry struct {
 	account string
@@ -8,6 +10,10 @@
 	own float64
 	// others is service given by other processes; it only rises.
 	others float64
+	// reported is the part of own that the ledger has taken into account.
+	reported float64
+	// reporters is the number of processes that serve the account.
+	reporters int
 	// fleetLift is virtual service added when the account trailed too far; it
 	// is shared through the ledger and only rises.
 	fleetLift float64
@@ -34,9 +40,13 @@
 	return (e.own+e.others)/e.weight + e.fleetLift + e.provisional
 }
 
-// key returns the virtual service with running requests at their estimates.
+// key returns the virtual service that orders accounts: running requests at
+// their estimates, and for each other reporter as much since the last answer as
+// was given here. Otherwise all processes would make up for the same arrears at
+// once, each in full.
 func (e *entry) key() float64 {
-	return e.settled() + e.expected/e.weight
+	assumed := float64(max(0, e.reporters-1)) * math.Max(0, e.own-e.reported)
+	return e.settled() + (e.expected+assumed)/e.weight
 }
 
 // before reports whether e starts before other: by key, then by the longest
--- a/internal/fairness/fleet_test.go
+++ b/internal/fairness/fleet_test.go
@@ -32,6 +32,8 @@
 	fleetWide policy = iota
 	perRouter
 	arrivalOrder
+	perSidecar // as fleetWide, without the ledger
+	policies
 )
 
 // offer is what one account asks for.
@@ -42,6 +44,8 @@
 	weights []float64
 	// active says whether the account asks at a step; nil is always.
 	active func(step int) bool
+	// targets is the number of targets that may serve it; 0 is all.
+	targets int
 }
 
 // scenario is one run of the fleet.
@@ -53,6 +57,9 @@
 	// flood, skewed and cuts say which bounds hold: against arrival order, against
 	// each router fair on its own, and none on waits at a router out of reach.
 	flood, skewed, cuts bool
+	// overlap says that some accounts may use only some targets, so that the gap
+	// must be smaller than without the ledger.
+	overlap bool
 	// at is called before each step.
 	at func(f *fleet, step int)
 }
@@ -73,6 +80,7 @@
 	reporter *ledger.Reporter
 	running  []*work
 	turn     int
+	number   int
 }
 
 // fleet is routers' queues and sidecars under one policy.
@@ -86,6 +94,7 @@
 	members  []ledger.Member
 	holders  map[string]*ledger.Holder
 	restarts uint64
+	offers   []offer
 
 	served  []float64
 	used    int
@@ -101,9 +110,10 @@
 func equal(string) float64 { return 1 }
 
 // newFleet returns an idle fleet.
-func newFleet(p policy, accounts int) *fleet {
+func newFleet(p policy, offers []offer) *fleet {
+	accounts := len(offers)
 	f := &fleet{
-		policy: p, rng: rand.New(rand.NewPCG(4, 4)),
+		policy: p, offers: offers, rng: rand.New(rand.NewPCG(4, 4)),
 		holders: make(map[string]*ledger.Holder),
 		served:  make([]float64, accounts),
 		maxWait: make([]int, accounts),
@@ -119,7 +129,7 @@
 		f.addMember(n)
 		c := fairness.New(equal)
 		c.SetCredit(fairness.Credit(sidecars*places, meanCost))
-		f.sidecars = append(f.sidecars, &sidecar{counters: c, reporter: ledger.NewReporter(n, 1)})
+		f.sidecars = append(f.sidecars, &sidecar{number: i, counters: c, reporter: ledger.NewReporter(n, 1)})
 	}
 	return f
 }
@@ -161,12 +171,21 @@
 	f.cut[router] = cut
 }
 
-// wait tells every sidecar that a request more or less of an account waits.
+// serves reports whether a sidecar's target may serve an account.
+func (f *fleet) serves(s *sidecar, account int) bool {
+	n := f.offers[account].targets
+	return n == 0 || s.number < n
+}
+
+// wait tells every sidecar that may serve an account that one more or less of its
+// requests waits.
 func (f *fleet) wait(account, change int) {
 	for _, s := range f.sidecars {
-		if change > 0 {
+		switch {
+		case !f.serves(s, account):
+		case change > 0:
 			s.counters.Wait(name(account))
-		} else {
+		default:
 			s.counters.Unwait(name(account))
 		}
 	}
@@ -251,7 +270,7 @@
 // next takes the request that starts next at a sidecar out of its queue.
 func (f *fleet) next(s *sidecar) *work {
 	switch f.policy {
-	case fleetWide:
+	case fleetWide, perSidecar:
 		if n, ok := s.counters.Next(); ok {
 			return f.take(s, n)
 		}
@@ -259,7 +278,7 @@
 	case perRouter:
 		return f.nextOfRouters(s)
 	default:
-		return f.oldest()
+		return f.oldest(s)
 	}
 }
 
@@ -287,7 +306,7 @@
 		}
 		var waiting []string
 		for a, q := range f.queues[s.turn] {
-			if len(q) > 0 {
+			if len(q) > 0 && f.serves(s, a) {
 				waiting = append(waiting, name(a))
 			}
 		}
@@ -304,15 +323,15 @@
 	return nil
 }
 
-// oldest takes the request that arrived first anywhere.
-func (f *fleet) oldest() *work {
+// oldest takes the request that arrived first anywhere for a sidecar.
+func (f *fleet) oldest(s *sidecar) *work {
 	var best *work
 	for r := range routers {
 		if f.cut[r] {
 			continue
 		}
-		for _, q := range f.queues[r] {
-			if len(q) > 0 && (best == nil || q[0].arrived < best.arrived) {
+		for a, q := range f.queues[r] {
+			if len(q) > 0 && f.serves(s, a) && (best == nil || q[0].arrived < best.arrived) {
 				best = q[0]
 			}
 		}
@@ -368,7 +387,7 @@
 				continue
 			}
 			for _, t := range s.reporter.Answered(at, report, resp) {
-				s.counters.Merge(t.Account, t.Others, t.Lift)
+				s.counters.Merge(t.Account, fairness.Fleet{Others: t.Others, Own: t.Own, Lift: t.Lift, Reporters: t.Reporters})
 			}
 		}
 	}
--- a/internal/fairness/scenario_test.go
+++ b/internal/fairness/scenario_test.go
@@ -75,6 +75,16 @@
 	}
 }
 
+// overlapping lets three of the accounts use half of the targets only.
+func overlapping() []offer {
+	offers := backlog()
+	for i := range 3 {
+		offers[i].targets = sidecars / 2
+	}
+	offers[small].rate = 2 * fairPart
+	return offers
+}
+
 var scenarios = []scenario{
 	{name: "flood", offers: flood(), flood: true},
 	{name: "flood, heavy tails and hints wrong by 20 times", offers: flood(), flood: true, heavy: true},
@@ -82,6 +92,8 @@
 	{name: "skewed spread, heavy tails and hints wrong by 20 times", offers: skewed(), skewed: true, heavy: true},
 	{name: "accounts come and go", offers: comingAndGoing()},
 	{name: "accounts come and go, heavy tails", offers: comingAndGoing(), heavy: true},
+	{name: "targets shared in part", offers: overlapping(), overlap: true},
+	{name: "targets shared in part, heavy tails", offers: overlapping(), overlap: true, heavy: true},
 	{name: "routers restart empty", offers: flood(), flood: true, at: restarts},
 	{name: "router cut off for a minute", offers: flood(), flood: true, at: cutOff, cuts: true},
 	{name: "router cut off for a minute, heavy tails", offers: flood(), flood: true, at: cutOff, cuts: true, heavy: true},
@@ -116,15 +128,15 @@
 	for _, sc := range scenarios {
 		t.Run(sc.name, func(t *testing.T) {
 			is := is.New(t)
-			var ran [3]*fleet
+			var ran [policies]*fleet
 			for p := range ran {
-				ran[p] = newFleet(policy(p), accounts)
+				ran[p] = newFleet(policy(p), sc.offers)
 				ran[p].run(sc)
 			}
-			ours, router, arrival := ran[fleetWide], ran[perRouter], ran[arrivalOrder]
+			ours, router, arrival, alone := ran[fleetWide], ran[perRouter], ran[arrivalOrder], ran[perSidecar]
 			wait := time.Duration(ours.maxWait[small]) * step
-			t.Logf("gap %.0f (per router %.0f, arrival %.0f, bound %.0f); used %d (arrival %d); small account's longest wait %v (per router %v, arrival %v)",
-				ours.gaps.widest, router.gaps.widest, arrival.gaps.widest, limits(sc.heavy).Gap(), ours.used, arrival.used,
+			t.Logf("gap %.0f (per router %.0f, arrival %.0f, without ledger %.0f, bound %.0f); used %d (arrival %d); small account's longest wait %v (per router %v, arrival %v)",
+				ours.gaps.widest, router.gaps.widest, arrival.gaps.widest, alone.gaps.widest, limits(sc.heavy).Gap(), ours.used, arrival.used,
 				wait, time.Duration(router.maxWait[small])*step, time.Duration(arrival.maxWait[small])*step)
 			is.True(ours.gaps.widest <= limits(sc.heavy).Gap())
 			if sc.flood {
@@ -133,7 +145,10 @@
 			if sc.skewed {
 				is.True(ours.gaps.widest <= router.gaps.widest/5)
 			}
-			if !sc.cuts {
+			if sc.overlap {
+				is.True(ours.gaps.widest <= alone.gaps.widest/5)
+			}
+			if !sc.cuts && !sc.overlap {
 				is.True(wait <= longestWait(sc.heavy))
 			}
 			is.True(float64(ours.used) >= 0.99*float64(arrival.used))
--- a/internal/ledger/reporter.go
+++ b/internal/ledger/reporter.go
@@ -55,8 +55,12 @@
 	Account string
 	// Others is service given by other processes and earlier incarnations.
 	Others float64
+	// Own is service given by this incarnation, as the holder knows it.
+	Own float64
 	// Lift is the account's lift in virtual service.
 	Lift float64
+	// Reporters is the number of processes that reported service.
+	Reporters int
 }
 
 // Report is one message to a holder.
@@ -212,7 +216,10 @@
 		a.answered, a.since = now, now
 		a.reporters = max(1, float64(t.GetReporters()))
 		a.contended = t.GetContended()
-		result = append(result, Total{t.GetAccount(), t.GetService() - t.GetOwn(), t.GetLift()})
+		result = append(result, Total{
+			Account: t.GetAccount(), Others: t.GetService() - t.GetOwn(), Own: t.GetOwn(),
+			Lift: t.GetLift(), Reporters: int(t.GetReporters()),
+		})
 	}
 	return result
 }
--- a/internal/sidecar/fair.go
+++ b/internal/sidecar/fair.go
@@ -89,6 +89,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, t := range totals {
-		s.counters.Merge(t.Account, t.Others, t.Lift)
+		s.counters.Merge(t.Account, fairness.Fleet{Others: t.Others, Own: t.Own, Lift: t.Lift, Reporters: t.Reporters})
 	}
 }
