--- a/internal/fairness/fleet_test.go
+++ b/internal/fairness/fleet_test.go
@@ -98,7 +98,6 @@
 
 	served  []float64
 	used    int
-	offered int
 	maxWait []int
 	gaps    *gaps
 }
