--- a/internal/fairness/charge.go
+++ b/internal/fairness/charge.go
@@ -9,8 +9,10 @@
 	// hintTrust is the factor by which a hint may move an estimate away from
 	// the mean of the costs seen. Hints may be wrong by 20 times.
 	hintTrust = 4
-	// costSmoothing is the share of the newest cost in the mean.
-	costSmoothing = 1.0 / 16
+	// accountMemory and fleetMemory are the numbers of requests over which the
+	// mean cost of an account, and of all, is taken.
+	accountMemory = 16
+	fleetMemory   = 256
 )
 
 // Charge is the account of one running request.
@@ -59,8 +61,8 @@
 	ch.entry.expected = math.Max(0, ch.entry.expected-ch.outstanding())
 	ch.settled = true
 	if ch.charged > 0 {
-		ch.entry.costs.add(ch.charged)
-		ch.counters.costs.add(ch.charged)
+		ch.entry.costs.add(ch.charged, accountMemory)
+		ch.counters.costs.add(ch.charged, fleetMemory)
 	}
 	ch.counters.moved(ch.entry)
 }
@@ -93,14 +95,24 @@
 	return math.Min(math.Max(hint, mean/hintTrust), mean*hintTrust)
 }
 
-// meanCost is an exponentially weighted mean; 0 until the first cost.
-type meanCost struct{ value float64 }
-
-// add takes in one cost.
-func (m *meanCost) add(cost float64) {
-	if m.value == 0 {
-		m.value = cost
-		return
+// MeanCost returns the mean cost of the requests that ended here lately, in
+// tokens or units.
+func (c *Counters) MeanCost() float64 {
+	if c.costs.value == 0 {
+		return unknownCost
 	}
-	m.value += (cost - m.value) * costSmoothing
+	return c.costs.value
+}
+
+// meanCost is the mean of the first costs and, after them, an exponentially
+// weighted one; 0 until the first cost.
+type meanCost struct {
+	value float64
+	costs int
+}
+
+// add takes in one cost. memory is the number of costs that the mean is over.
+func (m *meanCost) add(cost float64, memory int) {
+	m.costs = min(m.costs+1, memory)
+	m.value += (cost - m.value) / float64(m.costs)
 }
--- a/internal/fairness/fleet_test.go
+++ b/internal/fairness/fleet_test.go
@@ -126,9 +126,7 @@
 	for i := range sidecars {
 		n := fmt.Sprintf("sidecar-%d", i)
 		f.addMember(n)
-		c := fairness.New(equal)
-		c.SetCredit(fairness.Credit(sidecars*places, meanCost))
-		f.sidecars = append(f.sidecars, &sidecar{number: i, counters: c, reporter: ledger.NewReporter(n, 1)})
+		f.sidecars = append(f.sidecars, &sidecar{number: i, counters: fairness.New(equal), reporter: ledger.NewReporter(n, 1)})
 	}
 	return f
 }
@@ -373,6 +371,7 @@
 	for _, s := range f.sidecars {
 		s.reporter.SetMembers(at, f.members)
 		contended := s.counters.Waiting() > 1
+		s.counters.SetCredit(fairness.Credit(sidecars*places, s.counters.MeanCost()))
 		s.counters.Changed(func(v fairness.View) {
 			s.reporter.Note(at, ledger.Local{
 				Account: v.Account, Service: v.Own, Lift: v.Lift,
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -24,9 +24,9 @@
 	holderBytesPerSecond = 1500
 	// answerBytes is what one answer takes beside its totals: HTTP/2 frames and
 	// indexed headers.
-	answerBytes = 80
+	answerBytes = 115
 	// totalBytes is what one total takes, for an account's name of 16 bytes.
-	totalBytes = 50
+	totalBytes = 46
 )
 
 // Holder keeps the totals of the accounts that reporters bring to this process.
--- a/internal/ledger/reporter.go
+++ b/internal/ledger/reporter.go
@@ -29,7 +29,7 @@
 	reporterBurstBytes = 4000
 	// reportBytes is what one report takes beside its totals: HTTP/2 frames and
 	// indexed headers.
-	reportBytes = 100
+	reportBytes = 115
 	// MaxBatch is the most accounts in one report.
 	MaxBatch = 64
 )
@@ -83,6 +83,8 @@
 	bytes       float64
 	filled      time.Time
 	unheld      int
+	// suspects says that a holder may be passed over.
+	suspects bool
 }
 
 // account is what the reporter knows of one account.
@@ -154,6 +156,7 @@
 // most. Each must be followed by Answered or Failed.
 func (r *Reporter) Due(now time.Time, limit int) []Report {
 	r.refill(now)
+	r.clearSuspects(now)
 	r.unheld = 0
 	byHolder := make(map[Member][]*account)
 	for name, a := range r.pending {
@@ -161,7 +164,9 @@
 			delete(r.pending, name)
 			continue
 		}
-		r.place(now, a)
+		if r.suspects {
+			r.place(now, a)
+		}
 		if !a.held {
 			r.unheld++
 			continue
@@ -198,6 +203,7 @@
 	h := r.state(report.Holder.Name)
 	h.inFlight = false
 	h.suspect = now.Add(suspectFor)
+	r.suspects = true
 	for _, a := range r.accounts {
 		if a.held && a.holder == report.Holder {
 			r.place(now, a)
@@ -205,6 +211,23 @@
 	}
 }
 
+// clearSuspects brings all accounts back to their first holders once none is
+// passed over any more.
+func (r *Reporter) clearSuspects(now time.Time) {
+	if !r.suspects {
+		return
+	}
+	for _, h := range r.holders {
+		if now.Before(h.suspect) {
+			return
+		}
+	}
+	r.suspects = false
+	for _, a := range r.accounts {
+		r.place(now, a)
+	}
+}
+
 // take turns a holder's answer into totals.
 func (r *Reporter) take(now time.Time, totals []*zinniaquayv1.ServiceTotal) []Total {
 	var result []Total
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -31,7 +31,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.gate.SetBounds(boundsOf(s.opts.Store.Current(), s.opts.Target))
+	s.configure()
 	if !s.mayStart() || s.gate.Room(now) <= 0 {
 		return false
 	}
--- a/internal/sidecar/fair.go
+++ b/internal/sidecar/fair.go
@@ -35,6 +35,35 @@
 	j.receipt.charge.Add(service)
 }
 
+// configure lets the gate and the counters follow the configuration in force.
+// The caller holds the lock.
+func (s *Sidecar) configure() {
+	number := s.opts.Store.Number()
+	if number == s.configured {
+		return
+	}
+	s.configured = number
+	s.gate.SetBounds(boundsOf(s.opts.Store.Current(), s.opts.Target))
+	s.counters.Reweigh()
+	s.setCredit()
+}
+
+// setCredit sets how far an account may trail, from the places of all targets
+// that serve what this one does and the cost of requests lately. The caller
+// holds the lock.
+func (s *Sidecar) setCredit() {
+	snap := s.opts.Store.Current()
+	if snap == nil {
+		return
+	}
+	own := snap.Doc.GetTargets()[s.opts.Target]
+	places := 0
+	for _, name := range snap.Targets(own.GetService(), own.GetVersion()) {
+		places += boundsOf(snap, name).Max
+	}
+	s.counters.SetCredit(fairness.Credit(max(1, places), s.counters.MeanCost()))
+}
+
 // totals returns the service that this process gave, by account. The caller
 // holds the lock.
 func (s *Sidecar) totals() []*zinniaquayv1.ServiceTotal {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -74,6 +74,8 @@
 	routers  *routers
 	jobs     map[string]*job
 	draining bool
+	// configured is the number of the configuration that gate and counters follow.
+	configured uint64
 }
 
 // New returns a sidecar that does nothing until Run.
@@ -92,6 +94,7 @@
 	}
 	s.counters = fairness.New(s.weight)
 	s.waiting = newReservations(s.counters)
+	s.setCredit()
 	return s
 }
 
@@ -192,6 +195,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.waiting.expire(now)
+	s.setCredit()
 	for _, j := range s.jobs {
 		if j.state == ended && now.Sub(j.endedAt) > linger {
 			s.drop(j)
