--- a/internal/router/placer.go
+++ b/internal/router/placer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
@@ -11,28 +10,29 @@
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
 )
 
-const (
-	// headWindow is how many requests at the head of a queue hold reservations.
-	headWindow = 4
-	// placeWidth is how many sidecars hear of a request at first.
-	placeWidth = 2
-	// placeAgain is when a request that nobody claimed is placed more widely.
-	placeAgain = 20 * time.Millisecond
-	// placeAfresh is when a request that every sidecar knows is placed anew.
-	placeAfresh = 200 * time.Millisecond
-	// placeSenders bounds the calls under way that place reservations.
-	placeSenders = 64
-)
+// placeSenders bounds the calls under way that place reservations.
+const placeSenders = 64
 
-// placer places reservations with sidecars.
+// placer places reservations with sidecars, so that each waiting queue is known
+// to ever more of the targets that may serve it.
 type placer struct {
 	router *Router
 	wake   chan struct{}
+	// book belongs to the router's lock.
+	book *ticketBook
+}
+
+// placement is the reservations for one sidecar.
+type placement struct {
+	target, addr string
+	reservations []*zinniaquayv1.Reservation
+	// queues holds the queue of each reservation.
+	queues []queueKey
 }
 
 // newPlacer returns the placer of a router.
 func newPlacer(r *Router) *placer {
-	return &placer{router: r, wake: make(chan struct{}, 1)}
+	return &placer{router: r, wake: make(chan struct{}, 1), book: newTicketBook()}
 }
 
 // poke wakes the placer.
@@ -48,11 +48,11 @@
 func (p *placer) run(ctx context.Context) {
 	senders := pool.New().WithMaxGoroutines(placeSenders)
 	defer senders.Wait()
-	timer := time.NewTimer(placeAgain)
+	timer := time.NewTimer(widenEvery)
 	defer timer.Stop()
 	for {
 		if p.placeDue(ctx, senders, time.Now()) {
-			timer.Reset(placeAgain)
+			timer.Reset(widenEvery)
 		}
 		select {
 		case <-ctx.Done():
@@ -65,25 +65,35 @@
 
 // placeDue places what is due and reports whether any request waits.
 func (p *placer) placeDue(ctx context.Context, senders *pool.Pool, now time.Time) bool {
-	batches, left := p.due(now)
-	for addr, reservations := range batches {
-		senders.Go(func() { p.send(ctx, addr, reservations) })
+	placements, left := p.due(now)
+	for _, pl := range placements {
+		senders.Go(func() { p.send(ctx, pl) })
 	}
 	return left
 }
 
-// send places reservations with one sidecar. A failure needs no answer: the
-// requests are placed more widely soon.
-func (p *placer) send(ctx context.Context, addr string, reservations []*zinniaquayv1.Reservation) {
-	_, err := p.router.opts.Pool.Get(addr).Sidecar.Reserve(ctx, &zinniaquayv1.ReserveRequest{Reservations: reservations})
+// send places reservations with one sidecar. Those that it does not take are
+// due again a little later.
+func (p *placer) send(ctx context.Context, pl *placement) {
+	res, err := p.router.opts.Pool.Get(pl.addr).Sidecar.Reserve(ctx, &zinniaquayv1.ReserveRequest{Reservations: pl.reservations})
+	taken := int(res.GetAccepted())
 	if err != nil {
-		p.router.opts.Log.V(1).Info("reservations not placed", "addr", addr, "err", err.Error())
+		p.router.opts.Log.V(1).Info("reservations not placed", "addr", pl.addr, "err", err.Error())
+		taken = 0
+	}
+	if taken >= len(pl.queues) {
+		return
+	}
+	p.router.mu.Lock()
+	defer p.router.mu.Unlock()
+	for _, k := range pl.queues[taken:] {
+		p.book.forget(k, pl.target, time.Now().Add(retryAfter))
 	}
 }
 
-// due returns the reservations to place now, by sidecar address, and whether
-// any request waits.
-func (p *placer) due(now time.Time) (map[string][]*zinniaquayv1.Reservation, bool) {
+// due returns the reservations to place now, by target, and whether any request
+// waits.
+func (p *placer) due(now time.Time) (map[string]*placement, bool) {
 	r := p.router
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -91,38 +101,38 @@
 	if snap == nil || r.queues.len() == 0 {
 		return nil, false
 	}
-	batches := make(map[string][]*zinniaquayv1.Reservation)
+	p.book.sweep(r.queues, snap.Number)
+	placements := make(map[string]*placement)
 	for k := range r.queues.byKey {
-		for _, req := range r.queues.heads(k, headWindow) {
-			if now.Before(req.placeAt) {
-				continue
-			}
-			req.placeAt = now.Add(placeAgain)
-			chosen := choose(snap, req)
-			if len(chosen) == 0 {
-				// Every sidecar has heard; one that restarted has forgotten.
-				req.placed = nil
-				req.placeAt = now.Add(placeAfresh)
-			}
-			for _, target := range chosen {
-				req.place(target)
-				addr := snap.Doc.GetTargets()[target].GetSidecarAddr()
-				batches[addr] = append(batches[addr], req.reservation(r.opts.Addr))
-			}
+		for _, target := range p.book.of(k).widen(snap, k, now) {
+			p.add(placements, snap, k, target, now)
 		}
 	}
-	return batches, true
+	return placements, true
 }
 
-// choose returns targets that are to hear of a request: as many as know it
-// already, at least placeWidth, at random among the others.
-func choose(snap *configstore.Snapshot, req *request) []string {
-	var fresh []string
-	for _, name := range snap.Targets(req.service, req.version) {
-		if _, placed := req.placed[name]; !placed && snap.MayStart(name) {
-			fresh = append(fresh, name)
-		}
+// add adds a reservation of a queue to what a target is to hear. The caller
+// holds the router's lock.
+func (p *placer) add(placements map[string]*placement, snap *configstore.Snapshot, k queueKey, target string, now time.Time) {
+	pl, ok := placements[target]
+	if !ok {
+		pl = &placement{target: target, addr: snap.Doc.GetTargets()[target].GetSidecarAddr()}
+		placements[target] = pl
+	}
+	pl.queues = append(pl.queues, k)
+	pl.reservations = append(pl.reservations, p.reserve(k, target, now))
+}
+
+// reserve returns a reservation of one of a queue's first requests for a target
+// that has none, or nil if the queue is empty. The caller holds the router's
+// lock.
+func (p *placer) reserve(k queueKey, target string, now time.Time) *zinniaquayv1.Reservation {
+	req := leastReserved(p.router.queues.heads(k, headWindow))
+	if req == nil {
+		delete(p.book.of(k).known, target)
+		return nil
 	}
-	rand.Shuffle(len(fresh), func(i, j int) { fresh[i], fresh[j] = fresh[j], fresh[i] })
-	return fresh[:min(len(fresh), max(placeWidth, len(req.placed)))]
+	p.book.told(k, target, now)
+	req.reserved++
+	return req.reservation(p.router.opts.Addr)
 }
--- a/internal/sidecar/reservations.go
+++ b/internal/sidecar/reservations.go
@@ -1,62 +1,114 @@
 package sidecar
 
 import (
+	"time"
+
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
+	"github.com/zinniaquay/zinniaquay/internal/fairness"
+)
+
+const (
+	// maxReservations bounds the reservations that one sidecar holds.
+	maxReservations = 16384
+	// reservationLife is how long a reservation is kept that the router has not
+	// renewed. Routers renew theirs more often.
+	reservationLife = 30 * time.Second
 )
 
-// maxReservations bounds the reservations that one sidecar holds.
-const maxReservations = 16384
+// held is one reservation at the sidecar.
+type held struct {
+	*zinniaquayv1.Reservation
+	// number orders reservations by arrival.
+	number uint64
+	at     time.Time
+}
 
 // reservations holds the reservations of waiting requests: a queue for each
-// client account, in order of arrival. It is not safe for concurrent use.
+// client account, in order of arrival. It tells the counters which accounts
+// wait. It is not safe for concurrent use.
 type reservations struct {
-	byAccount map[string][]*zinniaquayv1.Reservation
+	counters  *fairness.Counters
+	byAccount map[string][]held
 	ids       map[string]struct{}
+	number    uint64
 }
 
 // newReservations returns an empty set.
-func newReservations() *reservations {
+func newReservations(c *fairness.Counters) *reservations {
 	return &reservations{
-		byAccount: make(map[string][]*zinniaquayv1.Reservation),
+		counters:  c,
+		byAccount: make(map[string][]held),
 		ids:       make(map[string]struct{}),
 	}
 }
 
 // add appends a reservation. It reports false if the set is full; a request
 // that is there already counts as taken.
-func (r *reservations) add(res *zinniaquayv1.Reservation) bool {
+func (r *reservations) add(now time.Time, res *zinniaquayv1.Reservation) bool {
 	if _, ok := r.ids[res.GetRequestId()]; ok {
 		return true
 	}
 	if len(r.ids) >= maxReservations {
 		return false
 	}
+	r.number++
 	r.ids[res.GetRequestId()] = struct{}{}
-	r.byAccount[res.GetAccount()] = append(r.byAccount[res.GetAccount()], res)
+	r.byAccount[res.GetAccount()] = append(r.byAccount[res.GetAccount()], held{res, r.number, now})
+	r.counters.Wait(res.GetAccount())
 	return true
 }
 
-// accounts returns the accounts that have reservations.
-func (r *reservations) accounts() []string {
-	names := make([]string, 0, len(r.byAccount))
-	for name := range r.byAccount {
-		names = append(names, name)
+// next removes and returns the oldest reservation of the account that is due.
+// It reports false if there is none.
+func (r *reservations) next() (held, bool) {
+	account, ok := r.counters.Next()
+	if !ok {
+		return held{}, false
 	}
-	return names
+	head := r.byAccount[account][0]
+	r.byAccount[account] = r.byAccount[account][1:]
+	if len(r.byAccount[account]) == 0 {
+		delete(r.byAccount, account)
+	}
+	delete(r.ids, head.GetRequestId())
+	r.counters.Unwait(account)
+	return head, true
 }
 
-// pop removes and returns the oldest reservation of an account that has one.
-func (r *reservations) pop(account string) *zinniaquayv1.Reservation {
+// drop removes the reservations of an account from a router that arrived up to
+// a number: the router says that they are gone.
+func (r *reservations) drop(account, router string, number uint64) {
+	r.filter(account, func(h held) bool { return h.GetRouterAddr() != router || h.number > number })
+}
+
+// expire removes the reservations that have not been renewed.
+func (r *reservations) expire(now time.Time) {
+	for account := range r.byAccount {
+		r.filter(account, func(h held) bool { return now.Sub(h.at) <= reservationLife })
+	}
+}
+
+// filter keeps the reservations of an account that keep admits.
+func (r *reservations) filter(account string, keep func(held) bool) {
 	queue := r.byAccount[account]
-	head := queue[0]
-	delete(r.ids, head.GetRequestId())
-	if len(queue) == 1 {
+	kept := queue[:0]
+	for _, h := range queue {
+		if keep(h) {
+			kept = append(kept, h)
+			continue
+		}
+		delete(r.ids, h.GetRequestId())
+		r.counters.Unwait(account)
+	}
+	clear(queue[len(kept):])
+	r.byAccount[account] = kept
+	if len(kept) == 0 {
 		delete(r.byAccount, account)
-	} else {
-		r.byAccount[account] = queue[1:]
 	}
-	return head
 }
 
+// last returns the number of the newest reservation.
+func (r *reservations) last() uint64 { return r.number }
+
 // len returns the number of reservations.
 func (r *reservations) len() int { return len(r.ids) }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -9,20 +9,18 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/capacity"
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
 	"github.com/zinniaquay/zinniaquay/internal/fairness"
+	"github.com/zinniaquay/zinniaquay/internal/ledger"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
 )
 
 const (
-	// defaultColdRunning is how many requests a cold target may run.
-	defaultColdRunning = 1
-	// defaultMaxRunning is how many requests a warm target may run.
-	defaultMaxRunning = 16
 	// sweepEvery is how often ended jobs are dropped.
 	sweepEvery = time.Second
 	// linger is how long an ended answer is kept for a router to resume.
@@ -43,12 +41,29 @@
 	Pool *rpc.Pool
 	// Log takes structured logs.
 	Log logr.Logger
+	// Name of the process, unique in the fleet.
+	Name string
+	// Metrics takes metrics. Default a registry of its own.
+	Metrics metrics.Registry
+	// Holder keeps this process's part of the ledger. Without one the order of
+	// client accounts is that of the service given here alone.
+	Holder *ledger.Holder
+	// Members names the processes that hold parts of the ledger.
+	Members func() []ledger.Member
+	// Routers names the addresses (IP:port) of routers to sample beside those
+	// that have placed reservations here. Default none.
+	Routers func() []string
+	// BufferBytes bounds the answers that are kept for routers. Default 64 MiB.
+	BufferBytes int64
+	// DialTarget opens connections to the target. Default TCP.
+	DialTarget rpc.Dial
 }
 
 // Sidecar is the process beside one target.
 type Sidecar struct {
 	opts   Options
 	engine *engine
+	budget *budget
 	wake   chan struct{}
 	runs   conc.WaitGroup
 
@@ -56,6 +71,7 @@
 	gate     *capacity.Gate
 	counters *fairness.Counters
 	waiting  *reservations
+	routers  *routers
 	jobs     map[string]*job
 	draining bool
 }
@@ -64,31 +80,21 @@
 func New(o Options) *Sidecar {
 	s := &Sidecar{
 		opts:    o,
-		engine:  newEngine(o.TargetURL),
+		engine:  newEngine(o.TargetURL, o.DialTarget),
+		budget:  newBudget(o.BufferBytes),
 		wake:    make(chan struct{}, 1),
-		gate:    newGate(o.Store.Current(), o.Target),
-		waiting: newReservations(),
+		gate:    capacity.New(time.Now(), boundsOf(o.Store.Current(), o.Target)),
+		routers: newRouters(o.Routers),
 		jobs:    make(map[string]*job),
 	}
+	if o.Metrics == nil {
+		s.opts.Metrics = metrics.NewRegistry()
+	}
 	s.counters = fairness.New(s.weight)
+	s.waiting = newReservations(s.counters)
 	return s
 }
 
-// newGate returns the gate for a target as the configuration declares it.
-func newGate(snap *configstore.Snapshot, target string) *capacity.Gate {
-	cold, warm := defaultColdRunning, defaultMaxRunning
-	if snap != nil {
-		t := snap.Doc.GetTargets()[target]
-		if n := int(t.GetColdRunning()); n > 0 {
-			cold = n
-		}
-		if n := int(t.GetMaxRunning()); n > 0 {
-			warm = n
-		}
-	}
-	return capacity.New(cold, warm)
-}
-
 // weight returns the weight of a client account in the configuration in force.
 func (s *Sidecar) weight(account string) float64 {
 	if snap := s.opts.Store.Current(); snap != nil {
@@ -99,21 +105,28 @@
 
 // Run does the sidecar's duties until the context ends.
 func (s *Sidecar) Run(ctx context.Context) {
+	s.mu.Lock()
+	s.gate.AwaitLoad(time.Now(), awaitLoad)
+	s.mu.Unlock()
 	var duties conc.WaitGroup
 	duties.Go(func() { s.dispatch(ctx) })
+	duties.Go(func() { s.watchTarget(ctx) })
+	duties.Go(func() { s.sample(ctx) })
+	duties.Go(func() { s.report(ctx) })
 	duties.Go(func() { s.sweep(ctx) })
 	duties.Wait()
 }
 
-// Drain stops new work and waits until all running requests have ended or the
-// context has.
+// Drain stops new work and waits until all running requests have ended and
+// their routers have the answers, or until the context ends. An answer that no
+// router fetches is waited for no longer than linger.
 func (s *Sidecar) Drain(ctx context.Context) error {
 	s.mu.Lock()
 	s.draining = true
 	s.mu.Unlock()
 	tick := time.NewTicker(10 * time.Millisecond)
 	defer tick.Stop()
-	for s.Running() > 0 {
+	for s.owed() > 0 {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -123,6 +136,19 @@
 	return nil
 }
 
+// owed returns the number of requests whose answers are not with their routers.
+func (s *Sidecar) owed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	owed := 0
+	for _, j := range s.jobs {
+		if j.state != ended || j.granted {
+			owed++
+		}
+	}
+	return owed
+}
+
 // Running returns the number of requests that run or are being claimed.
 func (s *Sidecar) Running() int {
 	s.mu.Lock()
@@ -131,11 +157,11 @@
 }
 
 // mayStart reports whether the target may start new work: the configuration
-// knows it, its availability zone is in, and the sidecar is not draining. The
-// caller holds the lock.
+// knows it, its availability zone is in, the sidecar is not draining, and there
+// is room for the answer. The caller holds the lock.
 func (s *Sidecar) mayStart() bool {
 	snap := s.opts.Store.Current()
-	return !s.draining && snap != nil && snap.MayStart(s.opts.Target)
+	return !s.draining && !s.budget.scarce() && snap != nil && snap.MayStart(s.opts.Target)
 }
 
 // poke wakes the dispatcher.
@@ -165,11 +191,19 @@
 func (s *Sidecar) dropOld(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, j := range s.jobs {
+	s.waiting.expire(now)
+	for _, j := range s.jobs {
 		if j.state == ended && now.Sub(j.endedAt) > linger {
-			delete(s.jobs, id)
+			s.drop(j)
 		}
 	}
+	s.poke()
+}
+
+// drop forgets an ended job and its answer. The caller holds the lock.
+func (s *Sidecar) drop(j *job) {
+	delete(s.jobs, j.id)
+	j.answer.drop()
 }
 
 // Status returns what the sidecar knows of itself.
@@ -181,5 +215,7 @@
 		Waiting:             uint64(s.waiting.len()),
 		Running:             uint64(s.gate.Running()),
 		Window:              uint64(s.gate.Window()),
+		Cold:                s.gate.Cold(time.Now()),
+		Totals:              s.totals(),
 	}
 }
