Serve the report, the time line and metrics to operators and scrapers

Routers listen for operators now, behind the operators' token: as a bearer, or as the password of basic authentication, since a phone's browser can send nothing else without scripts.

--- a/internal/process/router.go
+++ b/internal/process/router.go
@@ -13,6 +13,7 @@
 	"github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1/zinniaquayv1connect"
 	"github.com/zinniaquay/zinniaquay/internal/router"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
+	"github.com/zinniaquay/zinniaquay/internal/settings"
 )
 
 // Router is a whole router process.
@@ -21,6 +22,9 @@
 	settings *zinniaquayv1.RouterSettings
 	router   *router.Router
 	callers  net.Listener
+	// operators listens for operators, who show operatorToken.
+	operators     net.Listener
+	operatorToken settings.Secret
 }
 
 // NewRouter opens the listeners of a router.
@@ -33,7 +37,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
-	p := &Router{base: b, settings: s, callers: callers}
+	token, err := settings.LoadSecret(s.GetOperatorTokenFile())
+	if err != nil {
+		return nil, fmt.Errorf("operators' token: %w", err)
+	}
+	operators, err := net.Listen("tcp", s.GetOperatorAddr())
+	if err != nil {
+		return nil, fmt.Errorf("listen for operators: %w", err)
+	}
+	p := &Router{base: b, settings: s, callers: callers, operators: operators, operatorToken: token}
 	p.router = router.New(router.Options{
 		Addr:         b.node.Addr,
 		MaxBodyBytes: s.GetMaxBodyBytes(),
@@ -49,13 +61,18 @@
 // CallerAddr returns the address (IP:port) for callers.
 func (p *Router) CallerAddr() string { return p.callers.Addr().String() }
 
+// OperatorAddr returns the address (IP:port) for operators.
+func (p *Router) OperatorAddr() string { return p.operators.Addr().String() }
+
 // Run serves until the context ends, then shuts down gracefully.
 func (p *Router) Run(ctx context.Context) error {
 	running, failed := context.WithCancelCause(context.WithoutCancel(ctx))
 	var duties conc.WaitGroup
 	callers := p.callerServer()
 	peers := rpc.NewServer(p.peerHandler())
+	operators := p.operatorServer()
 	serve(&duties, callers, p.callers, failed)
+	serve(&duties, operators, p.operators, failed)
 	serve(&duties, peers, p.listener, failed)
 	duties.Go(func() { p.router.Run(running) })
 	select {
@@ -63,7 +80,7 @@
 	case <-running.Done():
 	}
 	p.drain()
-	shutdown(p.log, callers, peers)
+	shutdown(p.log, callers, operators, peers)
 	err := context.Cause(running)
 	failed(nil)
 	duties.Wait()
@@ -90,6 +107,15 @@
 	}
 }
 
+// operatorServer returns the server for operators.
+func (p *Router) operatorServer() *http.Server {
+	return &http.Server{
+		Handler:           p.operatorHandler(p.operatorToken),
+		ReadHeaderTimeout: p.settings.GetReadTimeout().AsDuration(),
+		ReadTimeout:       p.settings.GetReadTimeout().AsDuration(),
+	}
+}
+
 // peerHandler returns the handler for other processes.
 func (p *Router) peerHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/process/sidecar.go
+++ b/internal/process/sidecar.go
@@ -11,6 +11,7 @@
 	"github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1/zinniaquayv1connect"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
 	"github.com/zinniaquay/zinniaquay/internal/sidecar"
+	"github.com/zinniaquay/zinniaquay/internal/telemetry"
 )
 
 // Sidecar is a whole sidecar process.
@@ -79,6 +80,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(zinniaquayv1connect.NewSidecarServiceHandler(p.sidecar, p.interceptors()))
 	mux.Handle(zinniaquayv1connect.NewPeerServiceHandler(p.peerService(p.status), p.interceptors()))
+	mux.Handle("GET /metrics", telemetry.Handler(p.registry))
 	return mux
 }
 
