--- /dev/null
+++ b/internal/move/tally.go
@@ -0,0 +1,233 @@
+package move
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
+)
+
+// Limits of a tally's memory. What does not fit is counted under OtherKey.
+const (
+	MaxRoutes   = 32
+	MaxAccounts = 256
+)
+
+// OtherKey is the key of the cell for everything over a limit.
+const OtherKey = "other"
+
+// Dimension says what the answers of a cell have in common.
+type Dimension = zinniaquayv1.EvidenceCell_Dimension
+
+// The dimensions of cells. Every answer counts once in each.
+const (
+	ByLoad    = zinniaquayv1.EvidenceCell_load
+	ByRoute   = zinniaquayv1.EvidenceCell_route
+	ByAccount = zinniaquayv1.EvidenceCell_account
+)
+
+// Cell names a set of answers that have one thing in common.
+type Cell struct {
+	// Dimension says which thing that is.
+	Dimension Dimension
+	// Key is its value.
+	Key string
+}
+
+// Load is how busy a target was when a request started.
+type Load string
+
+// The loads, in thirds of the most requests that the target may run.
+const (
+	LoadLow    Load = "low"
+	LoadMiddle Load = "middle"
+	LoadHigh   Load = "high"
+)
+
+// LoadOf returns the load of a target.
+func LoadOf(running, most int) Load {
+	switch {
+	case 3*running > 2*most:
+		return LoadHigh
+	case 3*running > most:
+		return LoadMiddle
+	default:
+		return LoadLow
+	}
+}
+
+// Outcome is how an answer ended.
+type Outcome int
+
+// The outcomes.
+const (
+	// Succeeded is a whole answer.
+	Succeeded Outcome = iota
+	// Failed is an answer that is the target's fault: it broke off, timed out or
+	// reported an internal error.
+	Failed
+	// Refused is an answer that puts the fault on the caller.
+	Refused
+)
+
+// Observation is one finished answer. An answer whose caller has gone is none.
+type Observation struct {
+	// Route of the request.
+	Route string
+	// Account is the client account of the request.
+	Account string
+	// Load of the target when the request started.
+	Load Load
+	// Outcome of the request.
+	Outcome Outcome
+	// FirstToken is the time from start to the first token; 0 if there was none.
+	FirstToken time.Duration
+	// TokenGap is the mean time between tokens; 0 if there were fewer than two.
+	TokenGap time.Duration
+}
+
+// Tally counts the answers of one target on behalf of one move. It is not safe
+// for concurrent use.
+type Tally struct {
+	cells  map[Cell]*Counts
+	keys   map[Dimension]int
+	acked  map[Cell]Counts
+	holder uint64
+}
+
+// NewTally returns an empty tally.
+func NewTally() *Tally {
+	return &Tally{
+		cells: make(map[Cell]*Counts),
+		keys:  make(map[Dimension]int),
+		acked: make(map[Cell]Counts),
+	}
+}
+
+// Observe counts one answer.
+func (t *Tally) Observe(o Observation) {
+	t.cell(Cell{ByLoad, string(o.Load)}).observe(o)
+	t.cell(Cell{ByRoute, o.Route}).observe(o)
+	t.cell(Cell{ByAccount, o.Account}).observe(o)
+}
+
+func (t *Tally) cell(c Cell) *Counts {
+	if counts, ok := t.cells[c]; ok {
+		return counts
+	}
+	limit := MaxAccounts
+	if c.Dimension == ByRoute {
+		limit = MaxRoutes
+	}
+	if t.keys[c.Dimension] >= limit && c.Key != OtherKey {
+		return t.cell(Cell{c.Dimension, OtherKey})
+	}
+	t.keys[c.Dimension]++
+	counts := &Counts{}
+	t.cells[c] = counts
+	return counts
+}
+
+func (c *Counts) observe(o Observation) {
+	c.Answers++
+	switch o.Outcome {
+	case Failed:
+		c.Failed++
+	case Refused:
+		c.Refused++
+	case Succeeded:
+	}
+	if o.FirstToken > 0 {
+		c.FirstToken.add(o.FirstToken, FirstTokenUnit)
+	}
+	if o.TokenGap > 0 {
+		c.TokenGap.add(o.TokenGap, TokenGapUnit)
+	}
+}
+
+// Changed returns the cells that the holder of the given incarnation has not
+// acknowledged, at most budget bytes of them: cells with the most new failures
+// first, then those with the most new answers.
+func (t *Tally) Changed(holder uint64, budget int) []*zinniaquayv1.EvidenceCell {
+	if holder != t.holder {
+		t.holder = holder
+		clear(t.acked)
+	}
+	var cells []*zinniaquayv1.EvidenceCell
+	for _, c := range t.unacknowledged() {
+		m := c.message(t.cells[c])
+		if budget -= proto.Size(m); budget < 0 && len(cells) > 0 {
+			break
+		}
+		cells = append(cells, m)
+	}
+	return cells
+}
+
+// unacknowledged returns the changed cells, the most urgent first.
+func (t *Tally) unacknowledged() []Cell {
+	var cells []Cell
+	for c, counts := range t.cells {
+		if counts.Answers != t.acked[c].Answers {
+			cells = append(cells, c)
+		}
+	}
+	slices.SortFunc(cells, func(a, b Cell) int {
+		newA, newB := t.since(a), t.since(b)
+		return cmp.Or(
+			cmp.Compare(newB.Failed, newA.Failed),
+			cmp.Compare(newB.Answers, newA.Answers),
+			cmp.Compare(a.Dimension, b.Dimension),
+			cmp.Compare(a.Key, b.Key),
+		)
+	})
+	return cells
+}
+
+func (t *Tally) since(c Cell) Counts {
+	acked := t.acked[c]
+	return t.cells[c].minus(&acked)
+}
+
+// Acknowledge notes that a holder has merged cells.
+func (t *Tally) Acknowledge(holder uint64, cells []*zinniaquayv1.EvidenceCell) {
+	if holder != t.holder {
+		t.holder = holder
+		clear(t.acked)
+	}
+	for _, m := range cells {
+		t.acked[Cell{m.GetDimension(), m.GetKey()}] = countsOf(m)
+	}
+}
+
+func (c Cell) message(n *Counts) *zinniaquayv1.EvidenceCell {
+	return &zinniaquayv1.EvidenceCell{
+		Dimension:  c.Dimension,
+		Key:        c.Key,
+		Answers:    n.Answers,
+		Failed:     n.Failed,
+		Refused:    n.Refused,
+		FirstToken: n.FirstToken.trimmed(),
+		TokenGap:   n.TokenGap.trimmed(),
+	}
+}
+
+// trimmed returns the buckets without the empty ones at the end.
+func (h Histogram) trimmed() []uint64 {
+	end := Buckets
+	for end > 0 && h[end-1] == 0 {
+		end--
+	}
+	return slices.Clone(h[:end])
+}
+
+// countsOf reads a cell of a report. Buckets that do not exist are ignored.
+func countsOf(m *zinniaquayv1.EvidenceCell) Counts {
+	c := Counts{Answers: m.GetAnswers(), Failed: m.GetFailed(), Refused: m.GetRefused()}
+	copy(c.FirstToken[:], m.GetFirstToken())
+	copy(c.TokenGap[:], m.GetTokenGap())
+	return c
+}
