--- a/internal/move/cusum.go
+++ b/internal/move/cusum.go
@@ -10,7 +10,7 @@
 	// alarmThreshold is the log likelihood ratio at which the test speaks. By
 	// Lorden's bound the mean number of answers to a false alarm is at least
 	// e^alarmThreshold for independent answers.
-	alarmThreshold = 16.0
+	alarmThreshold = 20.0
 	// historyFactor raises the threshold where the old version gave no recent
 	// answers, so that the comparison is with the past.
 	historyFactor = 2.0
@@ -23,9 +23,11 @@
 	badFactor = 3.0
 	// mostBadRate bounds the rate of a bad version away from certainty.
 	mostBadRate = 0.9
-	// gainPerSlice bounds, as a part of the threshold, what one target adds in
-	// one slice of time: a short episode at one host is no fault of a version.
-	gainPerSlice = 0.25
+	// failureGain and slownessGain bound, as parts of the threshold, what one
+	// target adds in one slice of time: a short episode at one host is no fault
+	// of a version. Hosts are slow for some seconds more often than they fail.
+	failureGain  = 1.0 / 5
+	slownessGain = 1.0 / 16
 	// sliceLength is the length of a slice of time.
 	sliceLength = time.Second
 )
@@ -46,15 +48,16 @@
 }
 
 // add enters a target's events and other answers against the old version's rate.
-func (c *cusum) add(target string, events, others uint64, oldRate float64, now time.Time) {
+// MostGain bounds what the target adds in one slice, as a part of the threshold.
+func (c *cusum) add(target string, events, others uint64, oldRate, mostGain float64, now time.Time) {
 	p0 := math.Min(math.Max(oldRate, leastRate), mostBadRate-0.05)
 	p1 := math.Min(math.Max(badFactor*p0, p0+badMargin), mostBadRate)
 	gain := float64(events)*math.Log(p1/p0) + float64(others)*math.Log((1-p1)/(1-p0))
-	c.sum = math.Max(0, c.sum+c.capped(target, gain, now))
+	c.sum = math.Max(0, c.sum+c.capped(target, gain, mostGain*alarmThreshold, now))
 }
 
 // capped bounds a target's gain in the present slice.
-func (c *cusum) capped(target string, gain float64, now time.Time) float64 {
+func (c *cusum) capped(target string, gain, most float64, now time.Time) float64 {
 	if gain <= 0 {
 		return gain
 	}
@@ -65,7 +68,7 @@
 	if now.Sub(s.start) >= sliceLength {
 		s = gainSlice{start: now}
 	}
-	gain = math.Min(gain, gainPerSlice*alarmThreshold-s.gain)
+	gain = math.Min(gain, most-s.gain)
 	s.gain += gain
 	c.slices[target] = s
 	return gain
--- a/internal/move/judge.go
+++ b/internal/move/judge.go
@@ -148,10 +148,10 @@
 	if !sideBySide {
 		side, factor = j.past(c)
 	}
-	c.failed.add(target, news.Failed, news.Answers-news.Failed, upperRate(side.failed, side.answers), now)
+	c.failed.add(target, news.Failed, news.Answers-news.Failed, upperRate(side.failed, side.answers), failureGain, now)
 	j.conclude(&c.failed, factor, "failures", cell, c)
 	if sideBySide {
-		c.refused.add(target, news.Refused, news.Answers-news.Refused, upperRate(side.refused, side.answers), now)
+		c.refused.add(target, news.Refused, news.Answers-news.Refused, upperRate(side.refused, side.answers), failureGain, now)
 		j.conclude(&c.refused, factor, "refusals", cell, c)
 	}
 	// What one account asks for changes from hour to hour, so that its speed
@@ -189,7 +189,7 @@
 		return
 	}
 	slow := news.above(bucket)
-	c.add(target, slow, news.total()-slow, rate, now)
+	c.add(target, slow, news.total()-slow, rate, slownessGain, now)
 }
 
 // conclude finds the new version bad if a test is alarmed.
--- a/internal/move/tally.go
+++ b/internal/move/tally.go
@@ -92,18 +92,24 @@
 // Tally counts the answers of one target on behalf of one move. It is not safe
 // for concurrent use.
 type Tally struct {
-	cells  map[Cell]*Counts
+	cells  map[Cell]*tallyCell
 	keys   map[Dimension]int
-	acked  map[Cell]Counts
 	holder uint64
 }
 
+// tallyCell is one cell of a tally.
+type tallyCell struct {
+	cell   Cell
+	counts Counts
+	// acked is what the present holder has acknowledged.
+	acked Counts
+}
+
 // NewTally returns an empty tally.
 func NewTally() *Tally {
 	return &Tally{
-		cells: make(map[Cell]*Counts),
+		cells: make(map[Cell]*tallyCell),
 		keys:  make(map[Dimension]int),
-		acked: make(map[Cell]Counts),
 	}
 }
 
@@ -115,8 +121,8 @@
 }
 
 func (t *Tally) cell(c Cell) *Counts {
-	if counts, ok := t.cells[c]; ok {
-		return counts
+	if known, ok := t.cells[c]; ok {
+		return &known.counts
 	}
 	limit := MaxAccounts
 	if c.Dimension == ByRoute {
@@ -126,9 +132,9 @@
 		return t.cell(Cell{c.Dimension, OtherKey})
 	}
 	t.keys[c.Dimension]++
-	counts := &Counts{}
-	t.cells[c] = counts
-	return counts
+	added := &tallyCell{cell: c}
+	t.cells[c] = added
+	return &added.counts
 }
 
 func (c *Counts) observe(o Observation) {
@@ -152,13 +158,10 @@
 // acknowledged, at most budget bytes of them: cells with the most new failures
 // first, then those with the most new answers.
 func (t *Tally) Changed(holder uint64, budget int) []*zinniaquayv1.EvidenceCell {
-	if holder != t.holder {
-		t.holder = holder
-		clear(t.acked)
-	}
+	t.reportTo(holder)
 	var cells []*zinniaquayv1.EvidenceCell
 	for _, c := range t.unacknowledged() {
-		m := c.message(t.cells[c])
+		m := c.message()
 		if budget -= proto.Size(m); budget < 0 && len(cells) > 0 {
 			break
 		}
@@ -167,46 +170,51 @@
 	return cells
 }
 
+// reportTo forgets what was acknowledged if the holder is another one.
+func (t *Tally) reportTo(holder uint64) {
+	if holder == t.holder {
+		return
+	}
+	t.holder = holder
+	for _, c := range t.cells {
+		c.acked = Counts{}
+	}
+}
+
 // unacknowledged returns the changed cells, the most urgent first.
-func (t *Tally) unacknowledged() []Cell {
-	var cells []Cell
-	for c, counts := range t.cells {
-		if counts.Answers != t.acked[c].Answers {
-			cells = append(cells, c)
+func (t *Tally) unacknowledged() []*tallyCell {
+	var changed []*tallyCell
+	for _, c := range t.cells {
+		if c.counts.Answers != c.acked.Answers {
+			changed = append(changed, c)
 		}
 	}
-	slices.SortFunc(cells, func(a, b Cell) int {
-		newA, newB := t.since(a), t.since(b)
+	slices.SortFunc(changed, func(a, b *tallyCell) int {
 		return cmp.Or(
-			cmp.Compare(newB.Failed, newA.Failed),
-			cmp.Compare(newB.Answers, newA.Answers),
-			cmp.Compare(a.Dimension, b.Dimension),
-			cmp.Compare(a.Key, b.Key),
+			cmp.Compare(b.counts.Failed-b.acked.Failed, a.counts.Failed-a.acked.Failed),
+			cmp.Compare(b.counts.Answers-b.acked.Answers, a.counts.Answers-a.acked.Answers),
+			cmp.Compare(a.cell.Dimension, b.cell.Dimension),
+			cmp.Compare(a.cell.Key, b.cell.Key),
 		)
 	})
-	return cells
-}
-
-func (t *Tally) since(c Cell) Counts {
-	acked := t.acked[c]
-	return t.cells[c].minus(&acked)
+	return changed
 }
 
 // Acknowledge notes that a holder has merged cells.
 func (t *Tally) Acknowledge(holder uint64, cells []*zinniaquayv1.EvidenceCell) {
-	if holder != t.holder {
-		t.holder = holder
-		clear(t.acked)
-	}
+	t.reportTo(holder)
 	for _, m := range cells {
-		t.acked[Cell{m.GetDimension(), m.GetKey()}] = countsOf(m)
+		if c, ok := t.cells[Cell{m.GetDimension(), m.GetKey()}]; ok {
+			c.acked = countsOf(m)
+		}
 	}
 }
 
-func (c Cell) message(n *Counts) *zinniaquayv1.EvidenceCell {
+func (c *tallyCell) message() *zinniaquayv1.EvidenceCell {
+	n := &c.counts
 	return &zinniaquayv1.EvidenceCell{
-		Dimension:  c.Dimension,
-		Key:        c.Key,
+		Dimension:  c.cell.Dimension,
+		Key:        c.cell.Key,
 		Answers:    n.Answers,
 		Failed:     n.Failed,
 		Refused:    n.Refused,
