--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"path"
 	"strconv"
 	"strings"
@@ -41,7 +42,7 @@
 	mux.RedirectTrailingSlash = false
 	mux.RedirectFixedPath = false
 	mux.POST(chatPath, r.withID(r.chat))
-	for _, method := range []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"} {
+	for _, method := range []string{"GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"} {
 		mux.Handle(method, servicesPath, r.withID(r.plain))
 	}
 	mux.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
@@ -135,13 +136,7 @@
 	if err != nil {
 		return err
 	}
-	// The path that is judged is the path that is sent, or a target could read
-	// a request as one that must not be repeated where the router did not.
-	clean := path.Clean(params.ByName("path"))
-	target := clean
-	if req.URL.RawQuery != "" {
-		target += "?" + req.URL.RawQuery
-	}
+	clean, target := targetPath(params.ByName("path"), req.URL.RawQuery)
 	return r.serve(w, req, snap, r.newRequest(req, id, account, name, service, &zinniaquayv1.WorkRequest{
 		Method:        req.Method,
 		Path:          target,
@@ -151,6 +146,14 @@
 	}))
 }
 
+// targetPath returns the path by which a request is judged, and the path and
+// query that are sent. They are one path, escaped again, or a target could read
+// a request as one that must not be repeated where the router did not.
+func targetPath(decoded, rawQuery string) (clean, sent string) {
+	clean = path.Clean("/" + decoded)
+	return clean, (&url.URL{Path: clean, RawQuery: rawQuery}).RequestURI()
+}
+
 // units returns what a request to a plain service is charged.
 func units(s *zinniaquayv1.Service) float64 {
 	if u := s.GetUnitsPerRequest(); u > 0 {
@@ -159,10 +162,14 @@
 	return defaultUnits
 }
 
-// notRepeatable reports whether a service's request must not be repeated.
+// notRepeatable reports whether a service's request must not be repeated. Where
+// a pattern and a path differ only in how they are written, it errs on the side
+// of not repeating.
 func notRepeatable(s *zinniaquayv1.Service, method, cleanPath string) bool {
 	for _, p := range s.GetNotRepeatable() {
-		if (p.GetMethod() == "" || p.GetMethod() == method) && strings.HasPrefix(cleanPath, p.GetPathPrefix()) {
+		sameMethod := p.GetMethod() == "" || strings.EqualFold(p.GetMethod(), method)
+		prefix := path.Clean("/" + p.GetPathPrefix())
+		if sameMethod && len(cleanPath) >= len(prefix) && strings.EqualFold(cleanPath[:len(prefix)], prefix) {
 			return true
 		}
 	}
