--- a/internal/sidecar/engine_test.go
+++ b/internal/sidecar/engine_test.go
@@ -15,6 +15,9 @@
 	"github.com/zinniaquay/zinniaquay/internal/errkind"
 )
 
+// closeAtOnce closes the connection without an answer.
+const closeAtOnce = "close"
+
 // rawTarget answers each request that it reads with raw bytes and closes the
 // connection. It returns its base URL and the count of requests read.
 func rawTarget(t *testing.T, answer func(n int64) string) (string, *atomic.Int64) {
@@ -53,6 +56,9 @@
 			closeTarget()
 			return
 		}
+		if text == closeAtOnce {
+			return
+		}
 		if _, err := c.Write([]byte(text)); err != nil || strings.Contains(text, "Connection: close") {
 			return
 		}
@@ -163,3 +169,26 @@
 		is.Equal(end.GetErrorKind(), string(errkind.NoTarget))
 	}
 }
+
+// A kept-alive connection that breaks makes the HTTP client send a request
+// without a body again. What must not be repeated has no such connection.
+func TestABookingIsNeverOfferedASecondTime(t *testing.T) {
+	for _, body := range []string{"", "{}"} {
+		is := is.New(t)
+		base, read := rawTarget(t, func(n int64) string {
+			if n == 1 {
+				return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+			}
+			return closeAtOnce
+		})
+		e := newEngine(base, nil)
+		work := booking("POST")
+		work.Body = []byte(body)
+		end, _ := offered(t, e, work)
+		is.Equal(end.GetErrorKind(), "")
+		time.Sleep(50 * time.Millisecond) // the client takes its connection back, if it keeps it
+		end, _ = offered(t, e, work)
+		is.Equal(end.GetErrorKind(), string(errkind.TargetFailed))
+		is.Equal(read.Load(), int64(2))
+	}
+}
