Run a whole fleet in one process for a newcomer to try

demo starts a router, the sidecars and stand-ins of targets and platform on loopback, for either deployment, commits its configuration the way an operator does, and prints commands to paste. On SIGTERM the router drains first, so that sidecars still answer what it holds. Until processes follow the platform by themselves the demo hands them the committed document.

Wrong flags and arguments exit with 2, other errors with 1.

Shown failing first: a deployment with one target too many, a drain that leaves the sidecars running (the test then ends by its timeout).

--- /dev/null
+++ b/cmd/zinniaquay/demo.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"github.com/zinniaquay/zinniaquay/internal/demo"
+	"github.com/zinniaquay/zinniaquay/internal/telemetry"
+)
+
+// newDemo returns the command that runs a whole fleet in one process.
+func newDemo() *cobra.Command {
+	var deployment, callerAddr, operatorAddr, logLevel string
+	cmd := &cobra.Command{
+		Use:   "demo",
+		Short: "Run a whole fleet with stand-ins in one process on loopback",
+		Long: "Runs a router, sidecars and stand-ins of the targets and the platform in one process,\n" +
+			"prints commands to try, and serves until SIGINT or SIGTERM.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			d, err := demo.Find(deployment)
+			if err != nil {
+				return usage(err)
+			}
+			log, err := telemetry.NewLogger(cmd.ErrOrStderr(), logLevel, "demo")
+			if err != nil {
+				return usage(err)
+			}
+			ctx, stop := untilSignal(cmd)
+			defer stop()
+			fleet, err := demo.Start(ctx, demo.Options{Deployment: d, CallerAddr: callerAddr, OperatorAddr: operatorAddr, Log: log})
+			if err != nil {
+				return fmt.Errorf("start demo: %w", err)
+			}
+			if err := fleet.WriteHelp(cmd.OutOrStdout()); err != nil {
+				return err
+			}
+			if err := fleet.Run(ctx); err != nil {
+				return err
+			}
+			_, err = fmt.Fprintln(cmd.OutOrStdout(), "drained")
+			return err
+		},
+	}
+	cmd.Flags().StringVar(&deployment, "deployment", "zilina", "deployment to play: "+strings.Join(demo.Names(), " or "))
+	cmd.Flags().StringVar(&callerAddr, "caller-addr", "127.0.0.1:8080", "address (IP:port) for callers")
+	cmd.Flags().StringVar(&operatorAddr, "operator-addr", "127.0.0.1:8081", "address (IP:port) for operators")
+	cmd.Flags().StringVar(&logLevel, "log-level", "error", "level of logs: debug, info or error")
+	complete(cmd, "deployment", demo.Names()...)
+	complete(cmd, "log-level", "debug", "info", "error")
+	return cmd
+}
+
+// complete offers values of a flag to the shell's completion.
+func complete(cmd *cobra.Command, flag string, values ...string) {
+	if err := cmd.RegisterFlagCompletionFunc(flag, cobra.FixedCompletions(values, cobra.ShellCompDirectiveNoFileComp)); err != nil {
+		panic(err) // the flag was added before
+	}
+}
--- /dev/null
+++ b/internal/demo/demo_test.go
@@ -0,0 +1,68 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/zinniaquay/zinniaquay/internal/configstore"
+	"github.com/zinniaquay/zinniaquay/internal/standin/target"
+)
+
+func TestDeploymentsHaveTheSizesOfToday(t *testing.T) {
+	for _, name := range Names() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d, err := Find(name)
+			is.NoErr(err)
+			is.Equal(len(d.Zones), 3)
+			is.Equal(len(d.Accounts), 16)
+			models, plain := 0, 0
+			for _, target := range d.Targets() {
+				if target.Plain {
+					plain++
+					continue
+				}
+				models++
+			}
+			is.Equal(models, 12)
+			is.Equal(plain, 3)
+			port := 7000
+			doc := d.Configuration(func(string) string { port++; return fmt.Sprintf("127.0.0.1:%d", port) })
+			is.Equal(len(configstore.Validate(doc)), 0)
+			is.Equal(len(doc.GetTargets()), 15) // no name twice
+		})
+	}
+	_, err := Find("elsewhere")
+	is.New(t).True(err != nil)
+}
+
+func TestDemoServesACallerAndDrains(t *testing.T) {
+	is := is.New(t)
+	d, err := Find("lankaroute")
+	is.NoErr(err)
+	ctx, stop := context.WithCancel(t.Context())
+	f, err := Start(ctx, Options{Deployment: d, CallerAddr: anyPort, OperatorAddr: anyPort, Log: logr.Discard()})
+	is.NoErr(err)
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.CallerAddr()+"/v1/chat/completions",
+		strings.NewReader(`{"model":"roster-draft","stream":true,"max_tokens":9}`))
+	is.NoErr(err)
+	req.Header.Set("Authorization", "Bearer "+d.Accounts[0].Key())
+	res, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	body, err := io.ReadAll(res.Body)
+	is.NoErr(err)
+	is.NoErr(res.Body.Close())
+	want := target.NewAnswer(target.ChatRequest{Model: "roster-draft", MaxTokens: 9}, res.Header.Get("X-Request-Id"), Version)
+	is.Equal(string(body), string(want.Stream()))
+	stop()
+	is.NoErr(<-ended)
+}
--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -86,6 +86,12 @@
 	return b, nil
 }
 
+// PeerAddr returns the address (IP:port) for other processes.
+func (b *base) PeerAddr() string { return b.node.Addr }
+
+// Adopt puts a configuration in force unless a higher one is.
+func (b *base) Adopt(doc *zinniaquayv1.Configuration) { b.store.Apply(doc) }
+
 // member returns the process as its peers see it.
 func (b *base) member(role zinniaquayv1.Member_Role, target string) *zinniaquayv1.Member {
 	return &zinniaquayv1.Member{
--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -17,7 +17,9 @@
 	defaultCallerAddr   = "127.0.0.1:8080"
 	defaultOperatorAddr = "127.0.0.1:8081"
 	defaultMaxBodyBytes = 4 << 20
-	defaultReadTimeout  = 10 * time.Second
+	// DefaultReadTimeout is the longest time that a caller may take to send a
+	// request.
+	DefaultReadTimeout  = 10 * time.Second
 	defaultDrainTimeout = 150 * time.Second
 	defaultBufferBytes  = 64 << 20
 	defaultLogLevel     = "info"
@@ -58,7 +60,7 @@
 		address("operator_addr", &s.OperatorAddr, defaultOperatorAddr),
 		required("operator_token_file", &s.OperatorTokenFile),
 		positiveBytes("max_body_bytes", &s.MaxBodyBytes, defaultMaxBodyBytes),
-		positiveDuration("read_timeout", &s.ReadTimeout, defaultReadTimeout),
+		positiveDuration("read_timeout", &s.ReadTimeout, DefaultReadTimeout),
 		positiveDuration("drain_timeout", &s.DrainTimeout, defaultDrainTimeout),
 	)
 }
