Add the operators' commands and stand-ins as processes of their own

status, report and timeline call a router's operator address; check reads settings files and the secrets that they name and prints every fault; standin runs a target or the platform, so that the parts can be tried as separate processes.

--- a/cmd/zinniaquay/root.go
+++ b/cmd/zinniaquay/root.go
@@ -58,7 +58,8 @@
 		Args:          cobra.NoArgs,
 		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
-	root.AddCommand(newRouter(), newSidecar(), newDemo(), newVersion())
+	root.AddCommand(newRouter(), newSidecar(), newStatus(), newReport(), newTimeline(), newCheck(),
+		newDemo(), newStandin(), newVersion())
 	markUsage(root)
 	return root
 }
--- a/internal/report/build.go
+++ b/internal/report/build.go
@@ -43,6 +43,9 @@
 		AgeMS:         -1,
 		PlatformAgeMS: -1,
 	}
+	if own := a.status.GetMember().GetName(); own != "" {
+		row.Name = own
+	}
 	if a.status != nil {
 		row.AgeMS = now.Sub(a.at).Milliseconds()
 		row.PlatformAgeMS = a.status.GetPlatformAgeMs()
@@ -52,7 +55,7 @@
 	}
 	if a.silent {
 		row.State = stateSilent
-		r.Silent = append(r.Silent, name)
+		r.Silent = append(r.Silent, row.Name)
 	}
 	r.Processes = append(r.Processes, row)
 }
