Put requests, configurations and the life of processes on the time line

The recorder stood in every process and nothing wrote to it. Routers now record that a request was accepted, refused, claimed or resumed; sidecars that it started, ended, was barred or cancelled, under the ID that the caller knows; processes their start and drain and each configuration in force. A status says that the platform's age is unknown until somebody measures it.

Shown failing first: a sidecar without its recorder, a claim that is not recorded; each leaves a gap in the time line of a request through the demo.

--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +14,7 @@
 
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
 	"github.com/zinniaquay/zinniaquay/internal/standin/target"
+	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
 func TestDeploymentsHaveTheSizesOfToday(t *testing.T) {
@@ -63,6 +65,33 @@
 	is.NoErr(res.Body.Close())
 	want := target.NewAnswer(target.ChatRequest{Model: "roster-draft", MaxTokens: 9}, res.Header.Get("X-Request-Id"), Version)
 	is.Equal(string(body), string(want.Stream()))
+	is.Equal(kindsOf(t, f, res.Header.Get("X-Request-Id")), []string{
+		"router-1 request.accepted", "router-1 request.claimed", "sidecar request.started", "sidecar request.ended",
+	})
 	stop()
 	is.NoErr(<-ended)
 }
+
+// kindsOf returns the time line of a request.
+func kindsOf(t *testing.T, f *Fleet, id string) []string {
+	t.Helper()
+	is := is.New(t)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+f.OperatorAddr()+"/v1/timeline?request_id="+id, nil)
+	is.NoErr(err)
+	req.Header.Set("Authorization", "Bearer "+f.Token())
+	res, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	var view timeline.View
+	is.NoErr(json.NewDecoder(res.Body).Decode(&view))
+	is.NoErr(res.Body.Close())
+	is.Equal(len(view.Silent), 0)
+	var kinds []string
+	for _, e := range view.Events {
+		process := e.Process
+		if strings.HasPrefix(process, "sidecar-") {
+			process = "sidecar"
+		}
+		kinds = append(kinds, process+" "+e.Kind)
+	}
+	return kinds
+}
--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -32,6 +32,8 @@
 	timelineEvents = 16384
 	// closeTimeout bounds how long servers may take to close after a drain.
 	closeTimeout = 5 * time.Second
+	// unknownAge is the age, in a status, of what has never been heard.
+	unknownAge = -1
 )
 
 // base is what routers and sidecars have in common.
@@ -92,6 +94,23 @@
 // Adopt puts a configuration in force unless a higher one is.
 func (b *base) Adopt(doc *zinniaquayv1.Configuration) { b.store.Apply(doc) }
 
+// recordConfigurations puts each configuration that comes into force on the
+// time line, until the context ends.
+func (b *base) recordConfigurations(ctx context.Context) {
+	for last := uint64(0); ; {
+		changed := b.store.Changed()
+		if number := b.store.Number(); number != last {
+			last = number
+			b.events.Record(timeline.ConfigApplied, "", fmt.Sprintf("number %d", number))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
 // member returns the process as its peers see it.
 func (b *base) member(role zinniaquayv1.Member_Role, target string) *zinniaquayv1.Member {
 	return &zinniaquayv1.Member{
--- a/internal/process/router.go
+++ b/internal/process/router.go
@@ -14,6 +14,7 @@
 	"github.com/zinniaquay/zinniaquay/internal/router"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
 	"github.com/zinniaquay/zinniaquay/internal/settings"
+	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
 // Router is a whole router process.
@@ -54,6 +55,7 @@
 		Log:          log,
 		KV:           b.platform,
 		Registry:     b.registry,
+		Events:       b.events,
 	})
 	return p, nil
 }
@@ -75,10 +77,13 @@
 	serve(&duties, operators, p.operators, failed)
 	serve(&duties, peers, p.listener, failed)
 	duties.Go(func() { p.router.Run(running) })
+	duties.Go(func() { p.recordConfigurations(running) })
+	p.events.Record(timeline.ProcessStarted, "", p.node.Addr)
 	select {
 	case <-ctx.Done():
 	case <-running.Done():
 	}
+	p.events.Record(timeline.ProcessDraining, "", "")
 	p.drain()
 	shutdown(p.log, callers, operators, peers)
 	err := context.Cause(running)
@@ -128,5 +133,6 @@
 func (p *Router) status() *zinniaquayv1.StatusResponse {
 	s := p.router.Status()
 	s.Member = p.members.Self()
+	s.PlatformAgeMs = unknownAge
 	return s
 }
--- a/internal/process/sidecar.go
+++ b/internal/process/sidecar.go
@@ -12,6 +12,7 @@
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
 	"github.com/zinniaquay/zinniaquay/internal/sidecar"
 	"github.com/zinniaquay/zinniaquay/internal/telemetry"
+	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
 // Sidecar is a whole sidecar process.
@@ -38,6 +39,7 @@
 		BufferBytes: s.GetBufferBytes(),
 		Name:        s.GetProcess().GetName(),
 		Metrics:     b.registry,
+		Events:      b.events,
 		Holder:      b.holder,
 		Members:     b.ledgerMembers,
 		Routers:     b.routerAddrs,
@@ -52,10 +54,13 @@
 	peers := rpc.NewServer(p.peerHandler())
 	serve(&duties, peers, p.listener, failed)
 	duties.Go(func() { p.sidecar.Run(running) })
+	duties.Go(func() { p.recordConfigurations(running) })
+	p.events.Record(timeline.ProcessStarted, "", p.node.Addr)
 	select {
 	case <-ctx.Done():
 	case <-running.Done():
 	}
+	p.events.Record(timeline.ProcessDraining, "", "")
 	p.drain()
 	shutdown(p.log, peers)
 	err := context.Cause(running)
@@ -88,5 +93,6 @@
 func (p *Sidecar) status() *zinniaquayv1.StatusResponse {
 	s := p.sidecar.Status()
 	s.Member = p.members.Self()
+	s.PlatformAgeMs = unknownAge
 	return s
 }
--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -17,6 +17,7 @@
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
 	"github.com/zinniaquay/zinniaquay/internal/errkind"
 	"github.com/zinniaquay/zinniaquay/internal/telemetry"
+	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
 const (
@@ -78,6 +79,7 @@
 			return
 		}
 		r.refusals.add(errkind.Of(err))
+		r.opts.Events.Record(timeline.RequestRefused, id, err.Error())
 		r.opts.Log.Info("request refused", telemetry.KeyRequest, id, "kind", errkind.Of(err), "err", err.Error())
 		if errors.Is(err, errAnswerBegun) {
 			// An answer that was begun must not look complete.
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -11,6 +11,7 @@
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/errkind"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
+	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
 const (
@@ -58,6 +59,7 @@
 			time.Since(alive) > resumeTimeout:
 			return r.lost(ctx, req, h, s, err)
 		}
+		r.opts.Events.Record(timeline.RequestResumed, req.id, fmt.Sprintf("from chunk %d: %v", s.next, err))
 		pause(ctx, resumeEvery)
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,6 +19,7 @@
 	"github.com/zinniaquay/zinniaquay/internal/platform"
 	"github.com/zinniaquay/zinniaquay/internal/retry"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
+	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
 const (
@@ -46,6 +47,8 @@
 	Log logr.Logger
 	// KV holds idempotency keys. Without it requests that bring one are refused.
 	KV platform.KV
+	// Events takes the events of the time line; nil for none.
+	Events *timeline.Recorder
 	// Registry takes the metrics. Default one of its own.
 	Registry metrics.Registry
 	// MaxWaiting bounds the waiting requests of all accounts. Default 8192.
@@ -147,6 +150,7 @@
 	}
 	r.retries.Request(time.Now())
 	r.queues.push(req)
+	r.opts.Events.Record(timeline.RequestAccepted, req.id, req.account+" asks for "+req.service)
 	r.placer.poke()
 	return nil
 }
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -6,6 +6,7 @@
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
+	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
 // Claim implements the RPC: it hands a waiting request out, once. A request
@@ -32,6 +33,7 @@
 		handoutID:   c.GetRequestId(),
 		incarnation: c.GetIncarnation(),
 	}, now)
+	r.opts.Events.Record(timeline.RequestClaimed, req.id, "handed to "+c.GetTarget())
 	// A backlogged account so needs no round of its own for its next request.
 	return &zinniaquayv1.ClaimResponse{Granted: true, Request: work, Next: r.placer.reserve(key(req), c.GetTarget(), now)}, nil
 }
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -7,6 +7,7 @@
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/capacity"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
+	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
 // dispatch claims waiting requests while the target has room, until the context
@@ -123,6 +124,7 @@
 	j.state = started
 	j.stop = cancel
 	j.receipt.startedAt = time.Now()
+	s.record(timeline.RequestStarted, j.id, "at "+s.opts.Target)
 	return ctx, true
 }
 
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"time"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/capacity"
 	"github.com/zinniaquay/zinniaquay/internal/errkind"
+	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
 // run offers a started request to the target and buffers the answer.
@@ -27,6 +30,7 @@
 	j.state = ended
 	j.endedAt = now
 	j.answer.end(end)
+	s.record(timeline.RequestEnded, j.id, describe(end))
 	j.receipt.charge.Settle()
 	if !j.granted {
 		s.drop(j)
@@ -34,3 +38,18 @@
 	s.gate.Finish(now, outcome)
 	s.poke()
 }
+
+// record puts an event about a request on the time line, under the ID that the
+// caller knows: a hand-out's ID without its number.
+func (s *Sidecar) record(kind timeline.Kind, handoutID, detail string) {
+	id, _, _ := strings.Cut(handoutID, ".")
+	s.opts.Events.Record(kind, id, detail)
+}
+
+// describe tells a person how an answer ended.
+func describe(end *zinniaquayv1.End) string {
+	if end.GetErrorKind() == "" {
+		return fmt.Sprintf("whole, service %g", end.GetService())
+	}
+	return fmt.Sprintf("%s: %s, service %g", end.GetErrorKind(), end.GetMessage(), end.GetService())
+}
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
+	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
 // HeartbeatEvery is how often an answer without news sends a heartbeat.
@@ -115,6 +116,7 @@
 		// Every claim has a job, so this one was dropped after its time.
 		return zinniaquayv1.TombstoneResponse_unknown
 	case j.bar(now, "tombstoned") || !j.ran():
+		s.record(timeline.RequestTombstoned, id, "never started")
 		return zinniaquayv1.TombstoneResponse_never_started
 	}
 	return zinniaquayv1.TombstoneResponse_started
@@ -130,6 +132,7 @@
 	defer s.mu.Unlock()
 	// No router waits for the answer any more.
 	j.granted = false
+	s.record(timeline.RequestCanceled, j.id, "the caller has gone")
 	if !j.bar(time.Now(), "caller has gone") && j.ran() {
 		j.stop()
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -18,6 +18,7 @@
 	"github.com/zinniaquay/zinniaquay/internal/fairness"
 	"github.com/zinniaquay/zinniaquay/internal/ledger"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
+	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
 const (
@@ -55,6 +56,8 @@
 	Routers func() []string
 	// BufferBytes bounds the answers that are kept for routers. Default 64 MiB.
 	BufferBytes int64
+	// Events takes the events of the time line; nil for none.
+	Events *timeline.Recorder
 	// DialTarget opens connections to the target. Default TCP.
 	DialTarget rpc.Dial
 }
