--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -18,6 +18,7 @@
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
 	"github.com/zinniaquay/zinniaquay/internal/errkind"
 	"github.com/zinniaquay/zinniaquay/internal/telemetry"
+	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
 const (
@@ -79,6 +80,7 @@
 			return
 		}
 		r.refusals.add(errkind.Of(err))
+		r.opts.Events.Record(timeline.RequestRefused, id, err.Error())
 		r.opts.Log.Info("request refused", telemetry.KeyRequest, id, "kind", errkind.Of(err), "err", err.Error())
 		if errors.Is(err, errAnswerBegun) {
 			// An answer that was begun must not look complete.
