Call the decisions on moves and orders from router and sidecar

Cause: a decision that nobody calls decides nothing. Router: chooses the version of a request as it is queued, moves waiting ones off a bad or unclaimed version, refuses claims for a bad one, holds the evidence on its moves and commits their records. Sidecar: observes answers, reports them, claims nothing of a bad or unloaded version, loads the declared version under a lease and a permit, and lets its target ramp up after its zone returns. Ruled out: telling routers apart by the record in the platform (reads would grow with the fleet, and an outage would stop the share).

--- a/internal/capacity/gate.go
+++ b/internal/capacity/gate.go
@@ -248,6 +248,9 @@
 	g.threshold = g.window
 }
 
+// TurnCold lets the target ramp up as if it had just started.
+func (g *Gate) TurnCold(now time.Time) { g.turnCold(now) }
+
 // turnCold drops the window to the cold bound.
 func (g *Gate) turnCold(now time.Time) {
 	g.window = float64(g.bounds.Cold)
--- a/internal/move/judge.go
+++ b/internal/move/judge.go
@@ -14,6 +14,7 @@
 type Judge struct {
 	declaration Declaration
 	started     time.Time
+	stepped     time.Time
 	reporters   map[string]*reporter
 	cells       map[Cell]*comparison
 	total       comparison
@@ -58,8 +59,12 @@
 	}
 }
 
+// SetDeclaration takes over a changed deadline or small share. The declaration
+// must have the digest of the judge's own.
+func (j *Judge) SetDeclaration(d Declaration) { j.declaration = d }
+
 // Merge enters a target's running totals. Reports that are repeated or late
-// change nothing.
+// add nothing to the counts.
 func (j *Judge) Merge(r *zinniaquayv1.ReportEvidenceRequest, now time.Time) {
 	d := j.declaration
 	if r.GetMoveDigest() != d.Digest() || (r.GetVersion() != d.From && r.GetVersion() != d.To) {
--- a/internal/move/judge_test.go
+++ b/internal/move/judge_test.go
@@ -1,6 +1,7 @@
 package move
 
 import (
+	"flag"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -16,6 +17,9 @@
 	lateSeeds = 3
 )
 
+// goodRuns is the number of seeded moves of a good version.
+var goodRuns = flag.Uint64("good-runs", 100, "seeded moves of a good version")
+
 func fail(a *answer) { a.Outcome, a.affected = Failed, true }
 
 func slowDown(a *answer) {
@@ -105,7 +109,7 @@
 
 func TestGoodVersionsOnNoisyTargetsMoveInTime(t *testing.T) {
 	is := is.New(t)
-	runs := uint64(100)
+	runs := *goodRuns
 	if testing.Short() {
 		runs = 10
 	}
@@ -173,3 +177,29 @@
 		Move: d.Name, MoveDigest: d.Digest(), Version: d.To, Target: target, Incarnation: incarnation, Cells: cells,
 	}
 }
+
+func TestJudgeThatWasFrozenTrustsNoOldReport(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(5, 2)
+	now := simStart
+	say := func(target, version string, at time.Time) {
+		s.judge.Merge(&zinniaquayv1.ReportEvidenceRequest{
+			Move: s.d.Name, MoveDigest: s.d.Digest(), Version: version, Target: target, Incarnation: 1, Ready: true,
+		}, at)
+	}
+	for range 20 {
+		for i := range s.fleet.Old {
+			say(s.fleet.Old[i], s.d.From, now)
+			say(s.fleet.New[i], s.d.To, now)
+		}
+		s.judge.Step(s.fleet, now)
+		now = now.Add(500 * time.Millisecond)
+	}
+	is.True(s.judge.Progress(s.fleet, "", now).OldIdle) // it was heard to be idle
+	now = now.Add(time.Hour)
+	s.judge.Step(s.fleet, now)
+	is.True(!s.judge.Progress(s.fleet, "", now).OldIdle) // what was heard is an hour old
+	now = now.Add(silentAfter)
+	is.True(s.judge.Progress(s.fleet, "", now).OldIdle) // nobody answers
+	is.Equal(len(s.judge.Progress(s.fleet, "", now).Silent), 2)
+}
--- a/internal/move/knowledge.go
+++ b/internal/move/knowledge.go
@@ -14,11 +14,12 @@
 type Knowledge struct {
 	mu       sync.Mutex
 	verdicts map[uint64]*zinniaquayv1.Verdict
+	changed  chan struct{}
 }
 
 // NewKnowledge returns empty knowledge.
 func NewKnowledge() *Knowledge {
-	return &Knowledge{verdicts: make(map[uint64]*zinniaquayv1.Verdict)}
+	return &Knowledge{verdicts: make(map[uint64]*zinniaquayv1.Verdict), changed: make(chan struct{})}
 }
 
 // Learn merges verdicts and reports whether anything was new. The verdicts must
@@ -34,9 +35,23 @@
 			news = true
 		}
 	}
+	if news {
+		close(k.changed)
+		k.changed = make(chan struct{})
+	}
 	return news
 }
 
+// MergeVerdicts merges what a peer knows.
+func (k *Knowledge) MergeVerdicts(verdicts []*zinniaquayv1.Verdict) { k.Learn(verdicts...) }
+
+// VerdictsChanged returns a channel that is closed when something is learnt.
+func (k *Knowledge) VerdictsChanged() <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.changed
+}
+
 // Verdict returns what is known of a move, or nil.
 func (k *Knowledge) Verdict(d Declaration) *zinniaquayv1.Verdict {
 	k.mu.Lock()
@@ -50,8 +65,8 @@
 	return v != nil && !v.GetCleared()
 }
 
-// List returns all verdicts, for peers. They must not be changed.
-func (k *Knowledge) List() []*zinniaquayv1.Verdict {
+// Verdicts returns all verdicts, for peers. They must not be changed.
+func (k *Knowledge) Verdicts() []*zinniaquayv1.Verdict {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	list := make([]*zinniaquayv1.Verdict, 0, len(k.verdicts))
--- a/internal/move/raise.go
+++ b/internal/move/raise.go
@@ -26,6 +26,9 @@
 	leastDwell = 2 * time.Second
 	// idleAfter is the time without a start after which a version gets no work.
 	idleAfter = 5 * time.Second
+	// frozenAfter is the time between two steps after which the process counts as
+	// having been frozen.
+	frozenAfter = 3 * time.Second
 	// silentAfter is the time after which a target that does not report is left
 	// out of account.
 	silentAfter = 30 * time.Second
@@ -46,6 +49,7 @@
 // Step raises the level by one if the evidence suffices. It returns why it does
 // not, or an empty text if there is nothing left to raise.
 func (j *Judge) Step(f Fleet, now time.Time) string {
+	j.notice(now)
 	if j.badReason != "" {
 		return j.badReason
 	}
@@ -62,6 +66,27 @@
 	return fmt.Sprintf("at level %d of %d", j.level, FullLevel)
 }
 
+// notice forgets what targets do at this moment if the process was frozen, so
+// that nothing is concluded from their silence before they could speak.
+func (j *Judge) notice(now time.Time) {
+	if !j.stepped.IsZero() && now.Sub(j.stepped) > frozenAfter {
+		j.started = now
+		for _, r := range j.reporters {
+			r.heard = time.Time{}
+		}
+	}
+	j.stepped = now
+}
+
+// heardSince returns when a target was last heard, or when the judge began to
+// listen.
+func (j *Judge) heardSince(r *reporter) time.Time {
+	if r == nil || r.heard.IsZero() {
+		return j.started
+	}
+	return r.heard
+}
+
 func (j *Judge) setLevel(level uint32, now time.Time) {
 	j.level = level
 	j.levelSince = now
@@ -155,15 +180,11 @@
 func (j *Judge) idle(targets []string, version string, now time.Time, quiet func(*reporter) bool) (idle bool, silent []string) {
 	for _, target := range targets {
 		r := j.reporters[target]
-		heard := j.started
-		if r != nil {
-			heard = r.heard
-		}
-		if now.Sub(heard) >= silentAfter {
+		if now.Sub(j.heardSince(r)) >= silentAfter {
 			silent = append(silent, target)
 			continue
 		}
-		if r == nil || r.version != version || !quiet(r) {
+		if r == nil || r.heard.IsZero() || r.version != version || !quiet(r) {
 			return false, nil
 		}
 	}
--- a/internal/move/record_test.go
+++ b/internal/move/record_test.go
@@ -88,7 +88,7 @@
 	renamed.Name = "again"
 	is.True(!k.Bad(renamed)) // a later move is judged afresh
 	k.Keep([]Declaration{renamed})
-	is.Equal(len(k.List()), 0)
+	is.Equal(len(k.Verdicts()), 0)
 }
 
 func TestRecordKeepsWhatItsSuccessorNeeds(t *testing.T) {
--- a/internal/move/share.go
+++ b/internal/move/share.go
@@ -31,6 +31,15 @@
 	case !follows(v, route):
 		return d.SmallShare
 	}
+	return d.LevelShare(v)
+}
+
+// LevelShare returns the share of a route that is cleared, given what is known
+// of the new version; v may be nil.
+func (d Declaration) LevelShare(v *zinniaquayv1.Verdict) float64 {
+	if v == nil || !v.GetCleared() {
+		return d.SmallShare
+	}
 	return max(d.SmallShare, ladder[min(v.GetLevel(), FullLevel)])
 }
 
--- a/internal/move/sim_test.go
+++ b/internal/move/sim_test.go
@@ -38,6 +38,7 @@
 	affected  int
 	shownAt   time.Duration
 	peakShare float64
+	reported  map[string]time.Time
 	subsets   map[string][]string
 }
 
@@ -53,7 +54,7 @@
 		fault:     func(*rand.Rand, *answer) {},
 		d:         Declaration{Name: "m", Service: "s", From: "v1", To: "v2", Deadline: simStart.Add(10 * time.Minute), SmallShare: 0.05},
 		know:      NewKnowledge(), spread: NewSpreader("r1"),
-		tallies: map[string]*Tally{}, started: map[string]uint64{}, episodes: map[string]time.Duration{}, subsets: map[string][]string{},
+		tallies: map[string]*Tally{}, started: map[string]uint64{}, episodes: map[string]time.Duration{}, subsets: map[string][]string{}, reported: map[string]time.Time{},
 	}
 	for i := range targets {
 		s.fleet.Old = append(s.fleet.Old, fmt.Sprintf("old%d", i))
@@ -164,9 +165,13 @@
 }
 
 func (s *simulation) reportOne(target, version string, ready bool, now time.Time) {
-	const holder, budget = 7, 400
+	const holder = 7
 	t := s.tallies[target]
-	cells := t.Changed(holder, budget)
+	if now.Sub(s.reported[target]) < ReportInterval(2*len(s.fleet.New)) && !t.Urgent() {
+		return
+	}
+	s.reported[target] = now
+	cells := t.Changed(holder, CellBytes)
 	s.judge.Merge(&zinniaquayv1.ReportEvidenceRequest{
 		Move: s.d.Name, MoveDigest: s.d.Digest(), Version: version, Target: target,
 		Incarnation: 1, Started: s.started[target], Ready: ready,
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,139 @@
+// Package placement chooses the version that serves a request, and the targets
+// of that version that hear of it.
+package placement
+
+import (
+	"sync"
+
+	"github.com/zinniaquay/zinniaquay/internal/configstore"
+	"github.com/zinniaquay/zinniaquay/internal/move"
+)
+
+// MoveOf returns the move that is declared for a service.
+func MoveOf(snap *configstore.Snapshot, service string) (move.Declaration, bool) {
+	for name, m := range snap.Doc.GetMoves() {
+		if m.GetService() == service {
+			return move.NewDeclaration(name, m), true
+		}
+	}
+	return move.Declaration{}, false
+}
+
+// Bad reports whether a version of a service is known to be bad.
+func Bad(snap *configstore.Snapshot, k *move.Knowledge, service, version string) bool {
+	d, ok := MoveOf(snap, service)
+	return ok && version == d.To && k.Bad(d)
+}
+
+// Chooser chooses versions at one router. It is safe for concurrent use.
+type Chooser struct {
+	router    string
+	knowledge *move.Knowledge
+	routers   func() []string
+
+	mu        sync.Mutex
+	spreaders map[uint64]*move.Spreader
+}
+
+// NewChooser returns the chooser of a router. Routers returns the names of all
+// routers, this one among them.
+func NewChooser(router string, k *move.Knowledge, routers func() []string) *Chooser {
+	return &Chooser{router: router, knowledge: k, routers: routers, spreaders: make(map[uint64]*move.Spreader)}
+}
+
+// Version returns the version that serves the next request of a route. Each call
+// counts as one request in the spreading of a share.
+func (c *Chooser) Version(snap *configstore.Snapshot, service, route string) string {
+	version := snap.Doc.GetServices()[service].GetVersion()
+	d, ok := MoveOf(snap, service)
+	switch {
+	case !ok:
+		return version
+	case version == d.To && c.knowledge.Bad(d) && startable(snap, service, d.From):
+		return d.From
+	case version != d.From:
+		return version
+	}
+	if !startable(snap, service, d.To) {
+		return d.From
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	share := d.Share(c.knowledge.Verdict(d), route)
+	if c.spreader(d).Next(route, share, c.routers()) {
+		return d.To
+	}
+	return d.From
+}
+
+// spreader returns the spreader of a move. The caller holds the lock.
+func (c *Chooser) spreader(d move.Declaration) *move.Spreader {
+	s, ok := c.spreaders[d.Digest()]
+	if !ok {
+		s = move.NewSpreader(c.router)
+		c.spreaders[d.Digest()] = s
+	}
+	return s
+}
+
+// Keep forgets the spreading of moves that are not declared any more.
+func (c *Chooser) Keep(snap *configstore.Snapshot) {
+	declared := make(map[uint64]bool)
+	for name, m := range snap.Doc.GetMoves() {
+		declared[move.NewDeclaration(name, m).Digest()] = true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for digest := range c.spreaders {
+		if !declared[digest] {
+			delete(c.spreaders, digest)
+		}
+	}
+}
+
+// Other returns the version that a waiting request goes to instead of the one
+// that it was assigned to: the old version, if the new one is bad, or if no
+// target claims its requests although it does not have all traffic yet.
+func (c *Chooser) Other(snap *configstore.Snapshot, service, version, route string, unclaimed bool) (string, bool) {
+	d, ok := MoveOf(snap, service)
+	if !ok || version != d.To || !startable(snap, service, d.From) {
+		return "", false
+	}
+	if c.knowledge.Bad(d) {
+		return d.From, true
+	}
+	return d.From, unclaimed && d.Share(c.knowledge.Verdict(d), route) < 1
+}
+
+// Bad reports whether a version of a service is known to be bad.
+func (c *Chooser) Bad(snap *configstore.Snapshot, service, version string) bool {
+	return Bad(snap, c.knowledge, service, version)
+}
+
+// Targets returns the targets of a version that are to hear of its requests. A
+// small share goes to few targets of the new version, so that they run under the
+// load that they are to bear later.
+func (c *Chooser) Targets(snap *configstore.Snapshot, service, version string) []string {
+	var targets []string
+	for _, name := range snap.Targets(service, version) {
+		if snap.MayStart(name) {
+			targets = append(targets, name)
+		}
+	}
+	d, ok := MoveOf(snap, service)
+	if !ok || version != d.To || snap.Doc.GetServices()[service].GetVersion() != d.From {
+		return targets
+	}
+	v := c.knowledge.Verdict(d)
+	return move.Subset(d, targets, d.LevelShare(v))
+}
+
+// startable reports whether any target of a version may start work.
+func startable(snap *configstore.Snapshot, service, version string) bool {
+	for _, name := range snap.Targets(service, version) {
+		if snap.MayStart(name) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -19,8 +19,10 @@
 	"github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1/zinniaquayv1connect"
 	"github.com/zinniaquay/zinniaquay/internal/clock"
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
+	"github.com/zinniaquay/zinniaquay/internal/evidence"
 	"github.com/zinniaquay/zinniaquay/internal/ledger"
 	"github.com/zinniaquay/zinniaquay/internal/membership"
+	"github.com/zinniaquay/zinniaquay/internal/move"
 	"github.com/zinniaquay/zinniaquay/internal/platform"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
 	"github.com/zinniaquay/zinniaquay/internal/settings"
@@ -51,6 +53,8 @@
 	members *membership.List
 	// holder keeps this process's part of the ledger of service.
 	holder *ledger.Holder
+	// knowledge is what the process knows of versions that traffic moves to.
+	knowledge *move.Knowledge
 }
 
 // newBase opens the listener for peers and puts the common parts together.
@@ -69,6 +73,7 @@
 		registry:    metrics.NewRegistry(),
 		clock:       &clock.Clock{},
 		store:       configstore.NewStore(),
+		knowledge:   move.NewKnowledge(),
 		platform:    platform.NewRemote(http.DefaultClient, "http://"+s.GetPlatformAddr()),
 		incarnation: uint64(time.Now().UnixNano()),
 		listener:    listener,
@@ -118,6 +123,16 @@
 	return addrs
 }
 
+// evidenceRouters returns the live routers, any of which may hold the evidence
+// on a move.
+func (b *base) evidenceRouters() []evidence.Member {
+	var routers []evidence.Member
+	for _, m := range b.members.Live(zinniaquayv1.Member_router) {
+		routers = append(routers, evidence.Member{Name: m.GetName(), Addr: m.GetAddr()})
+	}
+	return routers
+}
+
 // interceptors returns the options that every handler for peers takes.
 func (b *base) interceptors() connect.HandlerOption {
 	return connect.WithInterceptors(b.node.Interceptor())
--- a/internal/process/router.go
+++ b/internal/process/router.go
@@ -5,14 +5,22 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1/zinniaquayv1connect"
+	"github.com/zinniaquay/zinniaquay/internal/evidence"
+	"github.com/zinniaquay/zinniaquay/internal/move"
+	"github.com/zinniaquay/zinniaquay/internal/move/keeper"
+	"github.com/zinniaquay/zinniaquay/internal/placement"
 	"github.com/zinniaquay/zinniaquay/internal/router"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
+	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
 // Router is a whole router process.
@@ -21,6 +29,10 @@
 	settings *zinniaquayv1.RouterSettings
 	router   *router.Router
 	callers  net.Listener
+	// evidence holds what targets report on moves.
+	evidence *evidence.Holder
+	// records reads the committed records of moves.
+	records *keeper.Reader
 }
 
 // NewRouter opens the listeners of a router.
@@ -34,6 +46,8 @@
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
 	p := &Router{base: b, settings: s, callers: callers}
+	p.evidence = p.newEvidenceHolder()
+	p.records = keeper.NewReader(b.platform)
 	p.router = router.New(router.Options{
 		Addr:         b.node.Addr,
 		MaxBodyBytes: s.GetMaxBodyBytes(),
@@ -42,10 +56,63 @@
 		Log:          log,
 		KV:           b.platform,
 		Registry:     b.registry,
+		Versions:     placement.NewChooser(s.GetProcess().GetName(), b.knowledge, p.routerNames),
+
+		VerdictsChanged: b.knowledge.VerdictsChanged,
 	})
 	return p, nil
 }
 
+// newEvidenceHolder returns the holder of evidence on moves.
+func (p *Router) newEvidenceHolder() *evidence.Holder {
+	return evidence.NewHolder(evidence.HolderOptions{
+		Name:        p.base.settings.GetName(),
+		Incarnation: p.incarnation,
+		Store:       p.store,
+		Knowledge:   p.knowledge,
+		Records:     p.platform,
+		Routers:     p.evidenceRouters,
+		Log:         p.log,
+		Metrics:     p.registry,
+		Event: func(committed bool, moveName, detail string) {
+			kind := timeline.MoveVerdict
+			if committed {
+				kind = timeline.MoveState
+			}
+			p.events.Record(kind, "", moveName+": "+detail)
+		},
+	})
+}
+
+// routerNames returns the names of all live routers.
+func (p *Router) routerNames() []string {
+	var names []string
+	for _, m := range p.members.Live(zinniaquayv1.Member_router) {
+		names = append(names, m.GetName())
+	}
+	return names
+}
+
+// moves returns the committed state of each declared move.
+func (p *Router) moves(ctx context.Context) []*zinniaquayv1.MoveStatus {
+	snap := p.store.Current()
+	if snap == nil {
+		return nil
+	}
+	var moves []*zinniaquayv1.MoveStatus
+	for name, m := range snap.Doc.GetMoves() {
+		d := move.NewDeclaration(name, m)
+		status := p.records.Status(ctx, d, time.Now())
+		status.Share = d.LevelShare(p.knowledge.Verdict(d))
+		if p.knowledge.Bad(d) {
+			status.Share = 0
+		}
+		moves = append(moves, status)
+	}
+	slices.SortFunc(moves, func(a, b *zinniaquayv1.MoveStatus) int { return strings.Compare(a.GetMove(), b.GetMove()) })
+	return moves
+}
+
 // CallerAddr returns the address (IP:port) for callers.
 func (p *Router) CallerAddr() string { return p.callers.Addr().String() }
 
@@ -58,6 +125,7 @@
 	serve(&duties, callers, p.callers, failed)
 	serve(&duties, peers, p.listener, failed)
 	duties.Go(func() { p.router.Run(running) })
+	duties.Go(func() { p.evidence.Run(running) })
 	select {
 	case <-ctx.Done():
 	case <-running.Done():
@@ -94,6 +162,7 @@
 func (p *Router) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(zinniaquayv1connect.NewRouterServiceHandler(p.router, p.interceptors()))
+	mux.Handle(zinniaquayv1connect.NewEvidenceServiceHandler(p.evidence, p.interceptors()))
 	mux.Handle(zinniaquayv1connect.NewPeerServiceHandler(p.peerService(p.status), p.interceptors()))
 	return mux
 }
--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -16,6 +16,7 @@
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
 	"github.com/zinniaquay/zinniaquay/internal/errkind"
+	"github.com/zinniaquay/zinniaquay/internal/move"
 	"github.com/zinniaquay/zinniaquay/internal/telemetry"
 )
 
@@ -219,6 +220,7 @@
 		account:  account,
 		service:  name,
 		version:  s.GetVersion(),
+		route:    move.RouteOf(work.GetMethod(), work.GetPath()),
 		work:     work,
 		hint:     hint,
 		deadline: time.Now().Add(timeout),
--- a/internal/router/queues.go
+++ b/internal/router/queues.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 )
 
 // queueKey names a queue: requests of one client account that the same targets
@@ -34,6 +35,15 @@
 	q.insert(len(q.byKey[key(r)]), r)
 }
 
+// pushByAge puts a request in its queue among those that were queued about when
+// it was.
+func (q *queues) pushByAge(r *request) {
+	at, _ := slices.BinarySearchFunc(q.byKey[key(r)], r.queuedAt, func(other *request, t time.Time) int {
+		return other.queuedAt.Compare(t)
+	})
+	q.insert(at, r)
+}
+
 // pushFront puts a request back at the head of its queue.
 func (q *queues) pushFront(r *request) {
 	q.insert(0, r)
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -47,8 +47,12 @@
 	work     *zinniaquayv1.WorkRequest
 	hint     uint64
 	deadline time.Time
+	// route tells evidence on a version's answers apart.
+	route string
 
 	state state
+	// queuedAt is when the request was queued first.
+	queuedAt time.Time
 	// handouts counts how often the request was handed out.
 	handouts int
 	// reserved counts the reservations that name this hand-out.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,6 +16,7 @@
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
 	"github.com/zinniaquay/zinniaquay/internal/errkind"
 	"github.com/zinniaquay/zinniaquay/internal/idempotency"
+	versions "github.com/zinniaquay/zinniaquay/internal/placement"
 	"github.com/zinniaquay/zinniaquay/internal/platform"
 	"github.com/zinniaquay/zinniaquay/internal/retry"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
@@ -50,6 +51,12 @@
 	Registry metrics.Registry
 	// MaxWaiting bounds the waiting requests of all accounts. Default 8192.
 	MaxWaiting int
+	// Versions chooses versions while traffic moves. Without it every request
+	// goes to its service's declared version.
+	Versions *versions.Chooser
+	// VerdictsChanged returns a channel that is closed when more is known of a
+	// version. Required with Versions.
+	VerdictsChanged func() <-chan struct{}
 }
 
 // Router is the process between callers and sidecars.
@@ -64,6 +71,7 @@
 	mu       sync.Mutex
 	retries  *retry.Budget
 	queues   *queues
+	claims   claimTimes
 	running  int
 	draining bool
 }
@@ -76,7 +84,7 @@
 	if o.MaxWaiting <= 0 {
 		o.MaxWaiting = defaultMaxWaitingInAll
 	}
-	r := &Router{opts: o, queues: newQueues(), retries: retry.NewBudget(time.Now()), refusals: newRefusals(o.Registry)}
+	r := &Router{opts: o, queues: newQueues(), claims: make(claimTimes), retries: retry.NewBudget(time.Now()), refusals: newRefusals(o.Registry)}
 	r.placer = newPlacer(r)
 	r.releaser = newReleaser(o)
 	if o.KV != nil {
@@ -90,6 +98,9 @@
 	var duties conc.WaitGroup
 	duties.Go(func() { r.placer.run(ctx) })
 	duties.Go(func() { r.releaser.run(ctx) })
+	if r.opts.Versions != nil {
+		duties.Go(func() { r.watchVersions(ctx) })
+	}
 	if r.keys != nil {
 		duties.Go(func() { r.keys.Run(ctx) })
 	}
@@ -145,7 +156,10 @@
 	if err := r.mayEnqueue(req.account, snap); err != nil {
 		return err
 	}
-	r.retries.Request(time.Now())
+	now := time.Now()
+	r.retries.Request(now)
+	req.queuedAt = now
+	req.version = r.chooseVersion(snap, req)
 	r.queues.push(req)
 	r.placer.poke()
 	return nil
@@ -203,6 +217,7 @@
 	req.state = waiting
 	req.handouts++
 	req.reserved = 0
+	r.fallBack(req)
 	r.running--
 	r.queues.pushFront(req)
 	r.placer.poke()
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
@@ -16,6 +17,9 @@
 		return &zinniaquayv1.ClaimResponse{}, nil
 	}
 	target := snap.Doc.GetTargets()[c.GetTarget()]
+	if r.bad(snap, target) {
+		return &zinniaquayv1.ClaimResponse{}, nil
+	}
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -25,6 +29,7 @@
 		return &zinniaquayv1.ClaimResponse{Next: r.placer.reserve(k, c.GetTarget(), now)}, nil
 	}
 	r.queues.remove(req)
+	r.claims.note(key(req), now)
 	r.running++
 	work := req.handOut(holder{
 		addr:        target.GetSidecarAddr(),
@@ -46,7 +51,7 @@
 func (r *Router) Sample(_ context.Context, s *zinniaquayv1.SampleRequest) (*zinniaquayv1.SampleResponse, error) {
 	res := &zinniaquayv1.SampleResponse{}
 	snap := r.opts.Store.Current()
-	if snap == nil || !snap.MayStart(s.GetTarget()) {
+	if snap == nil || !snap.MayStart(s.GetTarget()) || r.bad(snap, snap.Doc.GetTargets()[s.GetTarget()]) {
 		return res, nil
 	}
 	res.Reservations = r.sample(snap, s.GetTarget(), int(s.GetLimit()))
@@ -63,7 +68,7 @@
 		if len(found) >= limit {
 			break
 		}
-		if serves(target, queue[0]) {
+		if serves(target, queue[0]) && slices.Contains(r.eligible(snap, key(queue[0]), time.Now()), name) {
 			found = append(found, r.placer.reserve(key(queue[0]), name, time.Now()))
 		}
 	}
--- a/internal/router/tickets.go
+++ b/internal/router/tickets.go
@@ -3,8 +3,6 @@
 import (
 	"math/rand/v2"
 	"time"
-
-	"github.com/zinniaquay/zinniaquay/internal/configstore"
 )
 
 const (
@@ -84,18 +82,16 @@
 	b.configuration = configuration
 }
 
-// widen returns the targets that are to hear of a queue now: as many as know it
-// already, and at least placeWidth, at random among the others.
-func (t *tickets) widen(snap *configstore.Snapshot, k queueKey, now time.Time) []string {
+// widen returns the targets that are to hear of a queue now, out of those that
+// may: as many as know it already, and at least placeWidth, at random among the
+// others.
+func (t *tickets) widen(eligible []string, now time.Time) []string {
 	if now.Before(t.dueAt) {
 		return nil
 	}
 	var fresh []string
 	knowing := 0
-	for _, name := range snap.Targets(k.service, k.version) {
-		if !snap.MayStart(name) {
-			continue
-		}
+	for _, name := range eligible {
 		if at, ok := t.known[name]; ok && now.Sub(at) < ticketLife {
 			knowing++
 			continue
--- a/internal/rpc/pool.go
+++ b/internal/rpc/pool.go
@@ -33,6 +33,8 @@
 	Sidecar zinniaquayv1connect.SidecarServiceClient
 	// Peer calls the process as a peer.
 	Peer zinniaquayv1connect.PeerServiceClient
+	// Evidence calls the process as a holder of evidence on moves.
+	Evidence zinniaquayv1connect.EvidenceServiceClient
 
 	transport *http.Transport
 }
@@ -93,6 +95,7 @@
 	peer.Router = zinniaquayv1connect.NewRouterServiceClient(client, base, opts)
 	peer.Sidecar = zinniaquayv1connect.NewSidecarServiceClient(client, base, opts)
 	peer.Peer = zinniaquayv1connect.NewPeerServiceClient(client, base, opts)
+	peer.Evidence = zinniaquayv1connect.NewEvidenceServiceClient(client, base, opts)
 	return peer
 }
 
--- a/internal/sidecar/buffer.go
+++ b/internal/sidecar/buffer.go
@@ -58,6 +58,16 @@
 	b.changed = make(chan struct{})
 }
 
+// status returns the HTTP status of the answer, or 0 if it has no head.
+func (b *buffer) status() uint32 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.chunks) == 0 {
+		return 0
+	}
+	return b.chunks[0].GetHead().GetStatus()
+}
+
 // drop gives the bytes of the answer back to the budget. Readers that are
 // under way go on; none may come later.
 func (b *buffer) drop() {
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -12,7 +12,12 @@
 // run offers a started request to the target and buffers the answer.
 func (s *Sidecar) run(ctx context.Context, j *job, work *zinniaquayv1.WorkRequest) {
 	defer j.stop()
-	end, outcome := s.engine.run(ctx, work, j.answer, func(service float64) { s.charge(j, service) })
+	watch := s.watchAnswer(work)
+	end, outcome := s.engine.run(ctx, work, j.answer, func(service float64) {
+		watch.heard(time.Now())
+		s.charge(j, service)
+	})
+	s.observe(watch, j.answer.status(), end)
 	if end.GetErrorKind() == string(errkind.Canceled) {
 		outcome = capacity.Canceled
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -15,8 +15,11 @@
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/capacity"
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
+	"github.com/zinniaquay/zinniaquay/internal/evidence"
 	"github.com/zinniaquay/zinniaquay/internal/fairness"
 	"github.com/zinniaquay/zinniaquay/internal/ledger"
+	"github.com/zinniaquay/zinniaquay/internal/move"
+	"github.com/zinniaquay/zinniaquay/internal/placement"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
 )
 
@@ -55,6 +58,15 @@
 	Routers func() []string
 	// BufferBytes bounds the answers that are kept for routers. Default 64 MiB.
 	BufferBytes int64
+	// Knowledge is what the process knows of versions. Without it no evidence is
+	// gathered and no version counts as bad.
+	Knowledge *move.Knowledge
+	// EvidenceRouters returns the routers that may hold evidence. Required with
+	// Knowledge.
+	EvidenceRouters func() []evidence.Member
+	// Platform gives the lease and the permits for orders. Without it the target
+	// gets none.
+	Platform OrderPlatform
 	// DialTarget opens connections to the target. Default TCP.
 	DialTarget rpc.Dial
 }
@@ -74,6 +86,11 @@
 	routers  *routers
 	jobs     map[string]*job
 	draining bool
+	zoneOut  bool
+	loaded   bool
+
+	// reporter is nil where no evidence is gathered.
+	reporter *evidence.Reporter
 }
 
 // New returns a sidecar that does nothing until Run.
@@ -90,6 +107,10 @@
 	if o.Metrics == nil {
 		s.opts.Metrics = metrics.NewRegistry()
 	}
+	s.loaded = o.Platform == nil
+	if o.Knowledge != nil {
+		s.reporter = s.newReporter()
+	}
 	s.counters = fairness.New(s.weight)
 	s.waiting = newReservations(s.counters)
 	return s
@@ -114,6 +135,12 @@
 	duties.Go(func() { s.sample(ctx) })
 	duties.Go(func() { s.report(ctx) })
 	duties.Go(func() { s.sweep(ctx) })
+	if s.reporter != nil {
+		duties.Go(func() { s.reporter.Run(ctx) })
+	}
+	if s.opts.Platform != nil {
+		duties.Go(func() { s.giveOrders(ctx) })
+	}
 	duties.Wait()
 }
 
@@ -157,11 +184,35 @@
 }
 
 // mayStart reports whether the target may start new work: the configuration
-// knows it, its availability zone is in, the sidecar is not draining, and there
-// is room for the answer. The caller holds the lock.
+// knows it, its availability zone is in, its version is loaded and not bad, the
+// sidecar is not draining, and there is room for the answer. The caller holds
+// the lock.
 func (s *Sidecar) mayStart() bool {
 	snap := s.opts.Store.Current()
-	return !s.draining && !s.budget.scarce() && snap != nil && snap.MayStart(s.opts.Target)
+	if s.draining || !s.loaded || s.budget.scarce() || snap == nil {
+		return false
+	}
+	s.watchZone(snap)
+	return snap.MayStart(s.opts.Target) && !s.bad(snap)
+}
+
+// watchZone lets the target ramp up as if cold when its availability zone comes
+// back. The caller holds the lock.
+func (s *Sidecar) watchZone(snap *configstore.Snapshot) {
+	out := !snap.MayStart(s.opts.Target)
+	if s.zoneOut && !out {
+		s.gate.TurnCold(time.Now())
+	}
+	s.zoneOut = out
+}
+
+// bad reports whether the target's version is known to be bad.
+func (s *Sidecar) bad(snap *configstore.Snapshot) bool {
+	if s.opts.Knowledge == nil {
+		return false
+	}
+	t := snap.Doc.GetTargets()[s.opts.Target]
+	return placement.Bad(snap, s.opts.Knowledge, t.GetService(), t.GetVersion())
 }
 
 // poke wakes the dispatcher.
