--- a/internal/process/router.go
+++ b/internal/process/router.go
@@ -5,9 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"slices"
-	"strings"
-	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
@@ -15,12 +12,11 @@
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1/zinniaquayv1connect"
 	"github.com/zinniaquay/zinniaquay/internal/evidence"
-	"github.com/zinniaquay/zinniaquay/internal/move"
 	"github.com/zinniaquay/zinniaquay/internal/move/keeper"
 	"github.com/zinniaquay/zinniaquay/internal/placement"
 	"github.com/zinniaquay/zinniaquay/internal/router"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
-	"github.com/zinniaquay/zinniaquay/internal/timeline"
+	"github.com/zinniaquay/zinniaquay/internal/settings"
 )
 
 // Router is a whole router process.
@@ -33,6 +29,9 @@
 	evidence *evidence.Holder
 	// records reads the committed records of moves.
 	records *keeper.Reader
+	// operators listens for operators, who show operatorToken.
+	operators     net.Listener
+	operatorToken settings.Secret
 }
 
 // NewRouter opens the listeners of a router.
@@ -45,7 +44,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
-	p := &Router{base: b, settings: s, callers: callers}
+	token, err := settings.LoadSecret(s.GetOperatorTokenFile())
+	if err != nil {
+		return nil, fmt.Errorf("operators' token: %w", err)
+	}
+	operators, err := net.Listen("tcp", s.GetOperatorAddr())
+	if err != nil {
+		return nil, fmt.Errorf("listen for operators: %w", err)
+	}
+	p := &Router{base: b, settings: s, callers: callers, operators: operators, operatorToken: token}
 	p.evidence = p.newEvidenceHolder()
 	p.records = keeper.NewReader(b.platform)
 	p.router = router.New(router.Options{
@@ -63,66 +70,21 @@
 	return p, nil
 }
 
-// newEvidenceHolder returns the holder of evidence on moves.
-func (p *Router) newEvidenceHolder() *evidence.Holder {
-	return evidence.NewHolder(evidence.HolderOptions{
-		Name:        p.base.settings.GetName(),
-		Incarnation: p.incarnation,
-		Store:       p.store,
-		Knowledge:   p.knowledge,
-		Records:     p.platform,
-		Routers:     p.evidenceRouters,
-		Log:         p.log,
-		Metrics:     p.registry,
-		Event: func(committed bool, moveName, detail string) {
-			kind := timeline.MoveVerdict
-			if committed {
-				kind = timeline.MoveState
-			}
-			p.events.Record(kind, "", moveName+": "+detail)
-		},
-	})
-}
-
-// routerNames returns the names of all live routers.
-func (p *Router) routerNames() []string {
-	var names []string
-	for _, m := range p.members.Live(zinniaquayv1.Member_router) {
-		names = append(names, m.GetName())
-	}
-	return names
-}
-
-// moves returns the committed state of each declared move.
-func (p *Router) moves(ctx context.Context) []*zinniaquayv1.MoveStatus {
-	snap := p.store.Current()
-	if snap == nil {
-		return nil
-	}
-	var moves []*zinniaquayv1.MoveStatus
-	for name, m := range snap.Doc.GetMoves() {
-		d := move.NewDeclaration(name, m)
-		status := p.records.Status(ctx, d, time.Now())
-		status.Share = d.LevelShare(p.knowledge.Verdict(d))
-		if p.knowledge.Bad(d) {
-			status.Share = 0
-		}
-		moves = append(moves, status)
-	}
-	slices.SortFunc(moves, func(a, b *zinniaquayv1.MoveStatus) int { return strings.Compare(a.GetMove(), b.GetMove()) })
-	return moves
-}
-
 // CallerAddr returns the address (IP:port) for callers.
 func (p *Router) CallerAddr() string { return p.callers.Addr().String() }
 
+// OperatorAddr returns the address (IP:port) for operators.
+func (p *Router) OperatorAddr() string { return p.operators.Addr().String() }
+
 // Run serves until the context ends, then shuts down gracefully.
 func (p *Router) Run(ctx context.Context) error {
 	running, failed := context.WithCancelCause(context.WithoutCancel(ctx))
 	var duties conc.WaitGroup
 	callers := p.callerServer()
 	peers := rpc.NewServer(p.peerHandler())
+	operators := p.operatorServer()
 	serve(&duties, callers, p.callers, failed)
+	serve(&duties, operators, p.operators, failed)
 	serve(&duties, peers, p.listener, failed)
 	duties.Go(func() { p.router.Run(running) })
 	duties.Go(func() { p.evidence.Run(running) })
@@ -131,7 +93,7 @@
 	case <-running.Done():
 	}
 	p.drain()
-	shutdown(p.log, callers, peers)
+	shutdown(p.log, callers, operators, peers)
 	err := context.Cause(running)
 	failed(nil)
 	duties.Wait()
@@ -158,6 +120,15 @@
 	}
 }
 
+// operatorServer returns the server for operators.
+func (p *Router) operatorServer() *http.Server {
+	return &http.Server{
+		Handler:           p.operatorHandler(p.operatorToken),
+		ReadHeaderTimeout: p.settings.GetReadTimeout().AsDuration(),
+		ReadTimeout:       p.settings.GetReadTimeout().AsDuration(),
+	}
+}
+
 // peerHandler returns the handler for other processes.
 func (p *Router) peerHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -31,7 +31,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.gate.SetBounds(boundsOf(s.opts.Store.Current(), s.opts.Target))
+	s.configure()
 	if !s.mayStart() || s.gate.Room(now) <= 0 {
 		return false
 	}
@@ -104,6 +104,8 @@
 	defer s.mu.Unlock()
 	if !s.has(res.GetRequestId()) {
 		s.waiting.add(time.Now(), res)
+		// There may be room now; the next event may be a whole answer away.
+		s.poke()
 	}
 }
 
