--- a/cmd/zinniaquay/demo.go
+++ b/cmd/zinniaquay/demo.go
@@ -1,9 +1,14 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"io"
 	"strings"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/spf13/cobra"
 
 	"github.com/zinniaquay/zinniaquay/internal/demo"
@@ -34,10 +39,7 @@
 			if err != nil {
 				return fmt.Errorf("start demo: %w", err)
 			}
-			if err := fleet.WriteHelp(cmd.OutOrStdout()); err != nil {
-				return err
-			}
-			if err := fleet.Run(ctx); err != nil {
+			if err := runDemo(ctx, fleet, cmd.OutOrStdout()); err != nil {
 				return err
 			}
 			_, err = fmt.Fprintln(cmd.OutOrStdout(), "drained")
@@ -53,6 +55,20 @@
 	return cmd
 }
 
+// runDemo runs a fleet and tells how to call it once it can be called.
+func runDemo(ctx context.Context, fleet *demo.Fleet, out io.Writer) error {
+	var helped error
+	var group conc.WaitGroup
+	group.Go(func() {
+		if fleet.Wait(ctx) == nil {
+			helped = fleet.WriteHelp(out)
+		}
+	})
+	err := fleet.Run(ctx)
+	group.Wait()
+	return errors.Join(err, helped)
+}
+
 // complete offers values of a flag to the shell's completion.
 func complete(cmd *cobra.Command, flag string, values ...string) {
 	if err := cmd.RegisterFlagCompletionFunc(flag, cobra.FixedCompletions(values, cobra.ShellCompDirectiveNoFileComp)); err != nil {
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -54,6 +54,7 @@
 	is.NoErr(err)
 	ended := make(chan error, 1)
 	go func() { ended <- f.Run(ctx) }()
+	is.NoErr(f.Wait(ctx))
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.CallerAddr()+"/v1/chat/completions",
 		strings.NewReader(`{"model":"roster-draft","stream":true,"max_tokens":9}`))
 	is.NoErr(err)
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -177,8 +177,7 @@
 }
 
 func (f *Fleet) startRouter(ctx context.Context) error {
-	config, err := f.commit(ctx)
-	if err != nil {
+	if err := f.commit(ctx); err != nil {
 		return err
 	}
 	r, err := process.NewRouter(&zinniaquayv1.RouterSettings{
@@ -191,26 +190,21 @@
 	}
 	f.router = r
 	f.memory.SetHost(platform.Host{Name: "router-1", Addr: r.PeerAddr(), Zone: f.options.Deployment.Zones[0], Role: "router"})
-	r.Adopt(config)
-	for _, s := range f.sidecars {
-		s.Adopt(config)
-	}
 	return nil
 }
 
 // commit puts the deployment's configuration into the platform, as an operator
 // does.
-func (f *Fleet) commit(ctx context.Context) (*zinniaquayv1.Configuration, error) {
+func (f *Fleet) commit(ctx context.Context) error {
 	doc := f.options.Deployment.Configuration(func(name string) string { return f.sidecars[name].PeerAddr() })
 	patch, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(doc)
 	if err != nil {
-		return nil, fmt.Errorf("encode configuration: %w", err)
+		return fmt.Errorf("encode configuration: %w", err)
 	}
-	store := configstore.NewStore()
-	if _, err := configstore.NewEditor(f.memory, store).Patch(ctx, 0, patch); err != nil {
-		return nil, fmt.Errorf("commit configuration: %w %v", err, configstore.FaultsOf(err))
+	if _, err := configstore.NewEditor(f.memory, configstore.NewStore()).Patch(ctx, 0, patch); err != nil {
+		return fmt.Errorf("commit configuration: %w %v", err, configstore.FaultsOf(err))
 	}
-	return store.Current().Doc, nil
+	return nil
 }
 
 // Token returns the operators' token.
@@ -237,6 +231,22 @@
 	return errors.Join(err, sidecars.Wait())
 }
 
+// Wait waits until every process has a configuration, or the context ends.
+func (f *Fleet) Wait(ctx context.Context) error {
+	started := []<-chan struct{}{f.router.Started()}
+	for _, s := range f.sidecars {
+		started = append(started, s.Started())
+	}
+	for _, one := range started {
+		select {
+		case <-one:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // stopStandins ends the stand-ins and removes the tokens.
 func (f *Fleet) stopStandins() {
 	for _, e := range f.engines {
--- a/internal/process/operator.go
+++ b/internal/process/operator.go
@@ -22,24 +22,24 @@
 	status func() *zinniaquayv1.StatusResponse
 }
 
-// peer is a process that may be asked.
-type peer struct{ name, addr string }
+// contact is a process that may be asked.
+type contact struct{ name, addr string }
 
 // peers returns the other processes: the members, and the sidecars of targets
 // that are no members yet, under the target's name.
-func (f *fleet) peers() []peer {
-	var list []peer
+func (f *fleet) peers() []contact {
+	var list []contact
 	known := map[string]bool{f.base.node.Addr: true}
 	for _, m := range f.base.members.All() {
 		if known[m.GetAddr()] || m.GetState() == zinniaquayv1.Member_gone {
 			continue
 		}
 		known[m.GetAddr()] = true
-		list = append(list, peer{m.GetName(), m.GetAddr()})
+		list = append(list, contact{m.GetName(), m.GetAddr()})
 	}
 	for name, t := range f.Configuration().GetTargets() {
 		if !known[t.GetSidecarAddr()] {
-			list = append(list, peer{"sidecar of " + name, t.GetSidecarAddr()})
+			list = append(list, contact{"sidecar of " + name, t.GetSidecarAddr()})
 		}
 	}
 	return list
