Prove the spreading, and keep silent peers from holding it up

Cause: under fake time with a quarter to a half of all messages lost, fetches queued behind silent peers, and after one lost message each a process had no neighbours left to compare with. Now four fetches run at a time, a comparison goes on to the next neighbour, a push that fails goes to one other peer, unreachable neighbours fill up missing ones, and an exchange is given up after 500 ms. Tried and dropped: a bound of 13 s with half of all messages lost. Red first, each by breaking the code: no push; no comparison; one peer's word is enough to start; the first peer's word; fetching before the start; no whole document after a spoiled delta; a watch without a bound; every process watches or polls; watching before the members are known; an isolated process does not watch; gone members not reported, or reported unasked; one fetch at a time. The last three were at first not caught and got tests of their own. Not proved: that a process which alone heard a number and then lost its memory during an outage does not start below it; nobody is left who knows.

--- a/internal/membership/choose.go
+++ b/internal/membership/choose.go
@@ -56,24 +56,25 @@
 
 // Neighbours returns the few members that the process compares itself with all
 // the time: the ones that follow it on a ring of all members, and the one
-// opposite. Members that do not answer are passed over.
+// opposite. Members that do not answer are passed over while others do.
 func (l *List) Neighbours(count int, now time.Time) []*zinniaquayv1.Member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	ring := l.ring()
-	chosen := l.firstReachable(nil, ring, count-1, now)
-	return l.firstReachable(chosen, ring[len(ring)/2:], count-len(chosen), now)
+	answers := func(m *zinniaquayv1.Member) bool { return l.reachable(m.GetName(), now) }
+	chosen := addFirst(nil, ring, count-1, answers)
+	chosen = addFirst(chosen, ring[len(ring)/2:], count, answers)
+	return addFirst(chosen, ring, count, func(*zinniaquayv1.Member) bool { return true })
 }
 
-// firstReachable adds to chosen the first count members that answer.
-func (l *List) firstReachable(chosen []*zinniaquayv1.Member, from []record, count int, now time.Time) []*zinniaquayv1.Member {
+// addFirst adds the first members that qualify until there are count.
+func addFirst(chosen []*zinniaquayv1.Member, from []record, count int, qualifies func(*zinniaquayv1.Member) bool) []*zinniaquayv1.Member {
 	for _, r := range from {
-		if count <= 0 {
+		if len(chosen) >= count {
 			break
 		}
-		if l.reachable(r.member.GetName(), now) && !slices.Contains(chosen, r.member) {
+		if qualifies(r.member) && !slices.Contains(chosen, r.member) {
 			chosen = append(chosen, r.member)
-			count--
 		}
 	}
 	return chosen
--- a/internal/peer/compare.go
+++ b/internal/peer/compare.go
@@ -39,30 +39,42 @@
 // still on its way makes lists differ for a moment, so whole lists are exchanged
 // only if they differed the last time as well.
 func (n *Node) compare(ctx context.Context, turn int, differed bool) bool {
-	neighbours := n.Members.Neighbours(Neighbours, time.Now())
-	if len(neighbours) == 0 || !n.hasJoined() {
+	if !n.hasJoined() {
 		n.joinFleet(ctx)
 		return false
 	}
-	peer := neighbours[turn%len(neighbours)]
-	addr := peer.GetAddr()
-	if seeds := n.otherSeeds(); len(seeds) > 0 && turn%seedEvery == seedEvery-1 {
-		peer, addr = nil, seeds[n.intN(len(seeds))]
-	}
-	resp, err := n.exchange(ctx, addr, peer, n.request())
-	if err != nil {
+	addr, peer, resp := n.askOne(ctx, turn)
+	switch {
+	case resp == nil:
 		return differed
-	}
-	if resp.GetMembersDigest() == n.Members.Digest() {
+	case resp.GetMembersDigest() == n.Members.Digest():
 		return false
-	}
-	if !differed {
+	case !differed:
 		return true
 	}
 	n.syncMembers(ctx, addr, peer)
 	return false
 }
 
+// askOne exchanges digests with the neighbour whose turn it is or, if that does
+// not answer, with the next one.
+func (n *Node) askOne(ctx context.Context, turn int) (string, *zinniaquayv1.Member, *zinniaquayv1.ExchangeResponse) {
+	if seeds := n.otherSeeds(); len(seeds) > 0 && turn%seedEvery == seedEvery-1 {
+		addr := seeds[n.intN(len(seeds))]
+		if resp, err := n.exchange(ctx, addr, nil, n.request()); err == nil {
+			return addr, nil, resp
+		}
+	}
+	neighbours := n.Members.Neighbours(Neighbours, time.Now())
+	for i := range neighbours {
+		peer := neighbours[(turn+i)%len(neighbours)]
+		if resp, err := n.exchange(ctx, peer.GetAddr(), peer, n.request()); err == nil {
+			return peer.GetAddr(), peer, resp
+		}
+	}
+	return "", nil, nil
+}
+
 // syncMembers exchanges whole lists of members with a peer.
 func (n *Node) syncMembers(ctx context.Context, addr string, member *zinniaquayv1.Member) {
 	req := n.request()
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -8,7 +8,7 @@
 )
 
 // ExchangeTimeout is the longest time that one exchange may take.
-const ExchangeTimeout = time.Second
+const ExchangeTimeout = 500 * time.Millisecond
 
 // Exchange answers a peer that compares what it knows with this process.
 func (n *Node) Exchange(_ context.Context, req *zinniaquayv1.ExchangeRequest) (*zinniaquayv1.ExchangeResponse, error) {
--- a/internal/peer/fetch.go
+++ b/internal/peer/fetch.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/sourcegraph/conc/pool"
+
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
 	"github.com/zinniaquay/zinniaquay/internal/errkind"
@@ -13,6 +15,9 @@
 const (
 	// FetchTimeout is the longest time that one fetch from a peer may take.
 	FetchTimeout = time.Second
+	// maxFetches is the number of fetches that the fetch duty has under way;
+	// further ones wait.
+	maxFetches = 4
 	// maxFlights is the number of peers that are asked at the same time.
 	maxFlights = 16
 )
@@ -144,16 +149,24 @@
 	}
 }
 
-// fetchLoop is the duty that fetches numbers that peers were heard to have.
+// fetchLoop is the duty that fetches numbers that peers were heard to have, from
+// a few peers at a time, so that a silent one does not hold up the others.
 func (n *Node) fetchLoop(ctx context.Context) {
+	fetches := pool.New().WithMaxGoroutines(maxFetches)
+	defer fetches.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case h := <-n.heard:
-			if err := n.EnsureAtLeast(ctx, h.number, h.addr); err != nil {
-				n.Log.V(1).Info("no configuration from a peer", "peer", h.addr, "number", h.number, "reason", err.Error())
+			if h.number <= n.Store.Number() || !n.isStarted() {
+				continue
 			}
+			fetches.Go(func() {
+				if err := n.fetchShared(ctx, h.addr); err != nil {
+					n.Log.V(1).Info("no configuration from a peer", "peer", h.addr, "number", h.number, "reason", err.Error())
+				}
+			})
 		}
 	}
 }
--- a/internal/peer/fleet_test.go
+++ b/internal/peer/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -34,6 +35,8 @@
 	// spoil changes answers to FetchConfiguration.
 	spoil func(*zinniaquayv1.FetchConfigurationResponse)
 	bytes atomic.Int64
+	// random loses messages where it is set.
+	random *rand.Rand
 }
 
 // process is one node with what it stands on.
@@ -170,11 +173,18 @@
 	n.cut[addr] = cut
 }
 
+// loseQuarter loses every fourth message on average.
+func (n *network) loseQuarter() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.random = rand.New(rand.NewPCG(1, 1))
+}
+
 // reach waits for the way to a process, or for the timeout if it is cut.
 func (n *network) reach(ctx context.Context, from *process, addr string) (*process, error) {
 	n.mu.Lock()
 	to, ok := n.nodes[addr]
-	cut := n.cut[addr] || n.cut[from.addr()]
+	cut := n.cut[addr] || n.cut[from.addr()] || n.random != nil && n.random.IntN(4) == 0
 	n.mu.Unlock()
 	if !ok {
 		return nil, errUnreachable
--- a/internal/peer/push.go
+++ b/internal/peer/push.go
@@ -54,11 +54,20 @@
 	req := n.request()
 	req.Members = n.takePending()
 	for _, member := range n.randomPeers(Fanout) {
-		pushes.Go(func() {
-			n.count.pushes.Inc(1)
-			// A push that fails is made good by the comparison with neighbours.
-			_, _ = n.exchange(ctx, member.GetAddr(), member, req)
-		})
+		pushes.Go(func() { n.pushTo(ctx, member, req) })
+	}
+}
+
+// pushTo pushes to a member and, if it does not answer, to one other. What is
+// lost all the same is made good by the comparison with neighbours.
+func (n *Node) pushTo(ctx context.Context, member *zinniaquayv1.Member, req *zinniaquayv1.ExchangeRequest) {
+	n.count.pushes.Inc(1)
+	if _, err := n.exchange(ctx, member.GetAddr(), member, req); err == nil {
+		return
+	}
+	for _, other := range n.randomPeers(1) {
+		n.count.pushes.Inc(1)
+		_, _ = n.exchange(ctx, other.GetAddr(), other, req)
 	}
 }
 
--- a/internal/peer/spread_test.go
+++ b/internal/peer/spread_test.go
@@ -22,6 +22,9 @@
 // today's size.
 const inForceToday = 2 * time.Second
 
+// inForceTwoRegions is that time at 970 processes over two regions.
+const inForceTwoRegions = 13 * time.Second
+
 func TestAPatchIsInForceEverywhereWithinTwoSeconds(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -38,6 +41,13 @@
 		{"the platform goes down right after", func(*fleet) {}, func(f *fleet) { f.memory.SetFaults(platform.Faults{Down: true}) }},
 		{"watches have gone silent", func(f *fleet) { f.memory.SetFaults(platform.Faults{SilentWatches: true}) }, func(*fleet) {}},
 		{"the accepting process dies right after", func(*fleet) {}, func(f *fleet) { f.kill(3) }},
+		{"pushes do not arrive", func(f *fleet) {
+			for _, p := range f.all() {
+				p.link.SetCut(true)
+				p.Members.SetReachable("p9", false, time.Now()) // nobody chooses p9; it compares by itself
+			}
+			f.at(3).link.SetCut(false)
+		}, func(*fleet) {}},
 		{"five processes have died unnoticed", func(f *fleet) {
 			for i := 10; i < 15; i++ {
 				f.kill(i)
@@ -62,6 +72,22 @@
 	}
 }
 
+func TestAPatchSpreadsThoughAQuarterOfAllMessagesIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 18, 3)
+		defer f.stop()
+		time.Sleep(settle)
+		for _, p := range f.all() {
+			p.link.SetCut(p != f.at(3))
+		}
+		f.net.loseQuarter()
+		took := f.spreadTime(f.patch(3), time.Minute)
+		t.Logf("in force everywhere after %v", took)
+		is.True(took <= inForceTwoRegions)
+	})
+}
+
 func TestAPatchFromOutsideIsFoundByWatches(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -82,13 +108,61 @@
 	})
 }
 
-// callsBound is the stated bound of platform calls a second, whatever the number
-// of processes: two watchers a zone renew a watch every 10 s and read the host
-// list every 7.5 s at the soonest, and the fleet polls once in 2 s on average,
-// for which twice the average is allowed.
-func callsBound(zones int) float64 {
-	watchers := float64(zones * 2)
-	return watchers/10 + watchers/7.5 + 1
+// callsBound is the stated bound of platform calls a second for three zones,
+// whatever the number of processes: two watchers a zone renew a watch every 10 s
+// and read the host list every 7.5 s at the soonest, and the fleet polls once in
+// 2 s on average, for which twice the average is allowed.
+const (
+	zones      = 3
+	callsBound = 2*zones/10.0 + 2*zones/7.5 + 1
+)
+
+func TestASilentWatchIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 1, 1)
+		defer f.stop()
+		f.memory.SetFaults(platform.Faults{SilentWatches: true})
+		begun := time.Now()
+		_, err := f.at(0).watchOnce(t.Context(), 0)
+		is.True(errors.Is(err, platform.ErrUnavailable))
+		is.Equal(time.Since(begun), WatchTimeout+watchGrace)
+	})
+}
+
+// TestAnIsolatedProcessWatchesForItself cuts a process off from all peers but
+// not from the platform, in a zone too large to find that out one by one.
+func TestAnIsolatedProcessWatchesForItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 150, 1)
+		defer f.stop()
+		time.Sleep(settle)
+		f.net.setCut("p77", true)
+		time.Sleep(settle)
+		is.True(f.spreadTime(f.patch(0), 20*time.Second) <= inForceToday)
+	})
+}
+
+func TestASilentPeerDoesNotHoldUpAFetch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 4, 1)
+		defer f.stop()
+		time.Sleep(settle)
+		for _, addr := range []string{"p1", "p2", "p3"} {
+			f.net.setCut(addr, true)
+			f.at(int(addr[1] - '0')).link.SetCut(true)
+		}
+		number := f.patch(0)
+		time.Sleep(settle)
+		f.net.setCut("p1", false)
+		f.at(1).note(number, "p2")
+		f.at(1).note(number, "p3")
+		f.at(1).note(number, "p0")
+		time.Sleep(FetchTimeout / 2)
+		is.Equal(f.at(1).Store.Number(), number)
+	})
 }
 
 func TestPlatformCallsDoNotGrowWithTheFleet(t *testing.T) {
@@ -96,24 +170,24 @@
 		t.Run(fmt.Sprint(processes), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				const zones, seconds = 3, 120
+				const seconds = 120
 				f := newFleet(t, processes, zones)
 				defer f.stop()
 				time.Sleep(settle)
 				starting := f.memory.Calls().Total()
 				time.Sleep(seconds * time.Second)
 				rate := float64(f.memory.Calls().Total()-starting) / seconds
-				t.Logf("%d processes: %d calls in the first %v, then %.2f calls/s; bound %.2f", processes, starting, settle, rate, callsBound(zones))
-				is.True(rate <= callsBound(zones))
+				t.Logf("%d processes: %d calls in the first %v, then %.2f calls/s; bound %.2f", processes, starting, settle, rate, callsBound)
+				is.True(rate <= callsBound)
 				// One call a process to start, and no crowd of watchers meanwhile.
-				is.True(float64(starting) <= float64(2*processes)+callsBound(zones)*settle.Seconds())
+				is.True(float64(starting) <= float64(2*processes)+callsBound*settle.Seconds())
 
 				f.memory.SetFaults(platform.Faults{Down: true})
 				down := f.memory.Calls().Total()
 				time.Sleep(seconds * time.Second)
 				rate = float64(f.memory.Calls().Total()-down) / seconds
 				t.Logf("%d processes: %.2f calls/s while down", processes, rate)
-				is.True(rate <= callsBound(zones)+zones*2) // watchers try again every second at most
+				is.True(rate <= callsBound+zones*2) // watchers try again every second at most
 			})
 		})
 	}
@@ -143,7 +217,7 @@
 		// Each byte is sent by one process and received by another.
 		rate := 2 * float64(f.net.bytes.Load()-before) / processes / time.Since(begun).Seconds()
 		t.Logf("in force everywhere after %v at the slowest; %.0f bytes a second sent and received a process", slowest, rate)
-		is.True(slowest <= 13*time.Second)
+		is.True(slowest <= inForceTwoRegions)
 		is.True(rate <= bytesPerSecond)
 	})
 }
--- a/internal/peer/start_test.go
+++ b/internal/peer/start_test.go
@@ -142,9 +142,9 @@
 	}
 }
 
-// aFewSeconds is the time in which a notice of joining or leaving is known
+// knownWithin is the time in which a notice of joining or leaving is known
 // everywhere.
-const aFewSeconds = 5 * time.Second
+const knownWithin = 5 * time.Second
 
 func TestJoiningLeavingAndCrashingAreKnownEverywhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -169,14 +169,14 @@
 		is.True(everywhere(12))
 		f.memory.SetFaults(platform.Faults{HostListLag: time.Hour}) // the list never helps
 		f.start(12)
-		time.Sleep(aFewSeconds)
+		time.Sleep(knownWithin)
 		is.True(everywhere(13))
 		f.at(5).Announce(t.Context(), zinniaquayv1.Member_leaving)
-		time.Sleep(aFewSeconds)
+		time.Sleep(knownWithin)
 		is.True(everywhere(12))
 		f.kill(5)
 		f.start(5) // a new incarnation is live again
-		time.Sleep(aFewSeconds)
+		time.Sleep(knownWithin)
 		is.True(everywhere(13))
 
 		f.memory.SetFaults(platform.Faults{})
@@ -185,5 +185,6 @@
 		f.memory.RemoveHost("p8") // it runs all the same, and is asked
 		time.Sleep(3 * time.Minute)
 		is.True(everywhere(12))
+		is.Equal(f.at(8).Members.Self().GetRenewal(), uint32(0)) // nobody called it gone
 	})
 }
