Keep the goodput under overload: newest first, and room for small accounts

Before: requests of one queue ran in order of arrival.

Ruled out: shorter queues (the right length depends on a patience that callers do not tell).

A router that is full in all makes room for an account by refusing the newest request of the account with the most waiting, so that a flood keeps nobody out.

--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -222,6 +222,7 @@
 	}
 	// A hint that is no number is no hint.
 	hint, _ := strconv.ParseUint(req.Header.Get(costHintHeader), 10, 32)
+	now := time.Now()
 	return &request{
 		id:       id,
 		account:  account,
@@ -229,7 +230,9 @@
 		version:  s.GetVersion(),
 		work:     work,
 		hint:     hint,
-		deadline: time.Now().Add(timeout),
+		arrived:  now,
+		deadline: now.Add(timeout),
+		evicted:  make(chan struct{}),
 		granted:  make(chan holder, 1),
 	}
 }
--- a/internal/router/placer.go
+++ b/internal/router/placer.go
@@ -127,7 +127,7 @@
 // that has none, or nil if the queue is empty. The caller holds the router's
 // lock.
 func (p *placer) reserve(k queueKey, target string, now time.Time) *zinniaquayv1.Reservation {
-	req := leastReserved(p.router.queues.heads(k, headWindow))
+	req := leastReserved(p.router.queues.heads(k, headWindow, now))
 	if req == nil {
 		delete(p.book.byQueue, k)
 		return nil
--- a/internal/router/queues.go
+++ b/internal/router/queues.go
@@ -3,8 +3,13 @@
 import (
 	"slices"
 	"strings"
+	"time"
 )
 
+// overloadAfter is how long the oldest request of a queue waits before the
+// newest ones come first.
+const overloadAfter = 500 * time.Millisecond
+
 // queueKey names a queue: requests of one client account that the same targets
 // may serve.
 type queueKey struct{ account, service, version string }
@@ -78,10 +83,33 @@
 	return r
 }
 
-// heads returns the first n requests of a queue.
-func (q *queues) heads(k queueKey, n int) []*request {
+// heads returns the n requests of a queue that are to run first: the oldest
+// ones, or the newest ones first once the oldest has waited for overloadAfter.
+// Under overload the oldest are those whose callers are about to go, and work
+// for them would be lost.
+func (q *queues) heads(k queueKey, n int, now time.Time) []*request {
 	queue := q.byKey[k]
-	return queue[:min(n, len(queue))]
+	n = min(n, len(queue))
+	if n == 0 || now.Sub(queue[0].arrived) < overloadAfter {
+		return queue[:n]
+	}
+	newest := slices.Clone(queue[len(queue)-n:])
+	slices.Reverse(newest)
+	return newest
+}
+
+// crowding returns the newest request of the account with the most waiting, or
+// nil if none waits.
+func (q *queues) crowding() *request {
+	var newest *request
+	for _, queue := range q.byKey {
+		last := queue[len(queue)-1]
+		if newest == nil || q.perAcct[last.account] > q.perAcct[newest.account] ||
+			last.account == newest.account && last.arrived.After(newest.arrived) {
+			newest = last
+		}
+	}
+	return newest
 }
 
 // waitingOf returns how many requests of an account wait.
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 )
 
+// errEvicted means that a waiting request made room for another account's.
+var errEvicted = errors.New("request evicted")
+
 // state is the state of a caller's request at the router.
 //
 //	waiting:   in its account's queue; no copy of it is at any sidecar
@@ -18,8 +22,9 @@
 // waiting when the sidecar says that it never started and can't start any more,
 // or when a request that may be repeated failed before its caller saw any of the
 // answer; waiting to ended when the caller has gone, the deadline has passed or
-// the router shuts down, all of which are truly "not run"; handedOut to ended
-// when the answer ends or its outcome stays unknown.
+// the router is full of the account's requests, all of which are truly "not
+// run" after no hand-out; handedOut to ended when the answer ends or its outcome
+// stays unknown.
 type state int
 
 const (
@@ -40,12 +45,14 @@
 // router's lock.
 type request struct {
 	// id is what callers and targets see.
-	id       string
-	account  string
-	service  string
-	version  string
-	work     *zinniaquayv1.WorkRequest
-	hint     uint64
+	id      string
+	account string
+	service string
+	version string
+	work    *zinniaquayv1.WorkRequest
+	hint    uint64
+	// arrived is when the request came to the router.
+	arrived  time.Time
 	deadline time.Time
 
 	state state
@@ -57,6 +64,8 @@
 	retries int
 	// withdrawn says that the request left its queue without a hand-out.
 	withdrawn bool
+	// evicted is closed when the request makes room for another account's.
+	evicted chan struct{}
 	// granted carries the holder of each hand-out to the caller's goroutine.
 	granted chan holder
 }
@@ -101,6 +110,8 @@
 	select {
 	case h := <-r.granted:
 		return h, nil
+	case <-r.evicted:
+		return holder{}, errEvicted
 	case <-ctx.Done():
 		return holder{}, context.Cause(ctx)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -138,13 +138,17 @@
 	return nil
 }
 
-// enqueue appends a request to its account's queue.
+// enqueue appends a request to its account's queue. Where the router is full, a
+// request of the account with the most waiting makes room.
 func (r *Router) enqueue(req *request, snap *configstore.Snapshot) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err := r.mayEnqueue(req.account, snap); err != nil {
 		return err
 	}
+	if r.queues.len() >= r.opts.MaxWaiting {
+		r.evict(r.queues.crowding())
+	}
 	r.retries.Request(time.Now())
 	r.queues.push(req)
 	r.placer.poke()
@@ -158,12 +162,13 @@
 	if most == 0 {
 		most = defaultMaxWaiting
 	}
+	waiting := r.queues.waitingOf(account)
 	switch {
 	case r.draining:
 		return errkind.New(errkind.Draining, "this router is shutting down")
-	case r.queues.waitingOf(account) >= most:
+	case waiting >= most:
 		return errkind.New(errkind.QueueFull, "%d requests of the account wait already", most)
-	case r.queues.len() >= r.opts.MaxWaiting:
+	case r.queues.len() >= r.opts.MaxWaiting && waiting+1 >= r.queues.waitingOf(r.queues.crowding().account):
 		return errkind.New(errkind.QueueFull, "%d requests wait at this router already", r.opts.MaxWaiting)
 	}
 	return nil
@@ -180,19 +185,30 @@
 	return true
 }
 
-// withdraw ends a request that still waits. It reports false if the request was
-// handed out, after which only its holder can tell what became of it.
+// withdraw ends a request that still waits, or was evicted. It reports false if
+// the request was handed out, after which only its holder can tell what became
+// of it.
 func (r *Router) withdraw(req *request) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if req.state != waiting {
-		return false
+	if req.state == waiting {
+		r.leave(req)
 	}
+	return req.state == ended
+}
+
+// evict makes a waiting request leave for another account's.
+func (r *Router) evict(req *request) {
+	r.leave(req)
+	close(req.evicted)
+}
+
+// leave ends a request that waits. The caller holds the lock.
+func (r *Router) leave(req *request) {
 	r.queues.remove(req)
 	req.state = ended
 	// After a hand-out that may have run, leaving the queue proves nothing.
 	req.withdrawn = req.retries == 0
-	return true
 }
 
 // requeue puts a request back to the head of its queue after a hand-out that
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -59,10 +59,12 @@
 		// It was handed out in the meantime.
 		return <-req.granted, nil
 	}
-	if req.retries > 0 {
+	switch {
+	case req.retries > 0:
 		return holder{}, errkind.Wrap(errkind.TargetFailed, err, "the target failed and no other had room before the deadline")
-	}
-	if errors.Is(err, context.DeadlineExceeded) {
+	case errors.Is(err, errEvicted):
+		return holder{}, errkind.New(errkind.QueueFull, "the router is full, mostly of the account's requests")
+	case errors.Is(err, context.DeadlineExceeded):
 		return holder{}, errkind.New(errkind.WaitTimeout, "no target had room before the deadline")
 	}
 	return holder{}, errkind.Wrap(errkind.Canceled, err, "the caller has gone")
--- a/test/leaving_test.go
+++ b/test/leaving_test.go
@@ -24,8 +24,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
 	err := drain(ctx)
+	// What is left after the drain is at most the last bytes of an answer.
+	last, stop := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer stop()
 	for _, s := range f.running[h].servers {
-		_ = s.Shutdown(ctx)
+		_ = s.Shutdown(last)
 	}
 	f.running[h].stop()
 	f.net.kill(h)
@@ -73,7 +76,9 @@
 			defer f.close()
 			var drained error
 			var after int
+			stop := make(chan struct{})
 			go func() {
+				defer close(stop)
 				time.Sleep(time.Second)
 				before := f.given(leaving)
 				drained = f.shutdown(sidecarHost(leaving), f.sidecars[leaving].Drain)
@@ -83,6 +88,7 @@
 				is.NoErr(a.err)
 				is.Equal(a.status, http.StatusOK)
 			}
+			<-stop
 			is.NoErr(drained)
 			is.True(after <= 1) // at most what was being offered at that moment
 			is.True(f.given(leaving) > 0)
@@ -106,7 +112,9 @@
 		f := leavingFleet(t)
 		defer f.close()
 		var drained error
+		stop := make(chan struct{})
 		go func() {
+			defer close(stop)
 			time.Sleep(time.Second)
 			go func() {
 				time.Sleep(time.Millisecond)
@@ -130,6 +138,7 @@
 				is.Equal(a.status, http.StatusOK)
 			}
 		}
+		<-stop
 		is.NoErr(drained)
 		is.True(refused > 0 && refused < 160)
 	})
@@ -159,3 +168,23 @@
 		}
 	})
 }
+
+// A sidecar that leaves stays until its router has the answers, however late
+// that fetches them.
+func TestALeavingSidecarStaysUntilItsAnswersAreDelivered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := answerFleet(t, 0)
+		defer f.close()
+		stop := make(chan error, 1)
+		time.AfterFunc(time.Second, func() {
+			f.net.hold(routerHost(0), 5*time.Second) // the answer ends after 3 s
+			stop <- f.shutdown(sidecarHost(1), f.sidecars[1].Drain)
+		})
+		request := chat("a plan", 60, true)
+		a := f.call(t.Context(), 0, http.MethodPost, chatPath, "", bodyOf(request))
+		is.NoErr(a.err)
+		is.Equal(a.body, made(request, a))
+		is.NoErr(<-stop)
+	})
+}
