Call the spreading from router and sidecar, and serve the configuration to operators

Cause: the processes took their configuration only from the demo's own hand. Now each runs the spreading's duties, answers Exchange and FetchConfiguration, lets messages with a higher number wait for it, and announces leaving and gone; GET and PATCH /v1/config and its history stand behind the operators' token. Ruled out: reading the platform for GET /v1/config, which would fail in an outage; it shows what is in force at this router. errkind gains WriteBody, so that a refusal can list faults in the one shape.

--- a/internal/configstore/validate.go
+++ b/internal/configstore/validate.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"google.golang.org/protobuf/types/known/durationpb"
+
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 )
 
@@ -113,13 +115,18 @@
 		if u := service.GetUnitsPerRequest(); !within(u, 0, maxUnitsPerRequest) {
 			v.found.add(path+".units_per_request", "must be between 0 and %g", maxUnitsPerRequest)
 		}
-		if t := service.GetTimeout(); t != nil && (!t.IsValid() || t.AsDuration() <= 0 || t.AsDuration() > maxTimeout) {
-			v.found.add(path+".timeout", "must be above 0s and at most %gs", maxTimeout.Seconds())
-		}
+		v.duration(path+".timeout", service.GetTimeout())
 		v.patterns(path+".not_repeatable", service.GetNotRepeatable())
 	}
 }
 
+// duration checks a duration that may be left out.
+func (v *validator) duration(path string, d *durationpb.Duration) {
+	if d != nil && (!d.IsValid() || d.AsDuration() <= 0 || d.AsDuration() > maxTimeout) {
+		v.found.add(path, "must be above 0s and at most %gs", maxTimeout.Seconds())
+	}
+}
+
 func (v *validator) patterns(path string, patterns []*zinniaquayv1.RequestPattern) {
 	for _, p := range patterns {
 		if !methodPattern.MatchString(p.GetMethod()) {
@@ -146,6 +153,7 @@
 		}
 		v.sidecarAddr(path+".sidecar_addr", name, target.GetSidecarAddr(), byAddr)
 		v.running(path, target)
+		v.duration(path+".cold_time", target.GetColdTime())
 	}
 }
 
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -5,10 +5,12 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -173,9 +175,22 @@
 func (f *Fleet) process(name, zone string) *zinniaquayv1.ProcessSettings {
 	return &zinniaquayv1.ProcessSettings{
 		Name: name, PeerAddr: anyPort, Zone: zone, FleetTokenFile: f.secret("fleet"), PlatformAddr: f.platform, LogLevel: "info",
+		SeedAddrs: f.seeds(),
 	}
 }
 
+// seeds returns the addresses of a few processes that are there already.
+func (f *Fleet) seeds() []string {
+	const most = 3
+	var addrs []string
+	for _, name := range slices.Sorted(maps.Keys(f.sidecars)) {
+		if len(addrs) < most {
+			addrs = append(addrs, f.sidecars[name].PeerAddr())
+		}
+	}
+	return addrs
+}
+
 func (f *Fleet) startRouter(ctx context.Context) error {
 	config, err := f.commit(ctx)
 	if err != nil {
--- a/internal/errkind/http.go
+++ b/internal/errkind/http.go
@@ -42,10 +42,13 @@
 }
 
 // Write sends the refusal for an error. It must be the first write to w.
-func Write(w http.ResponseWriter, err error) {
-	body := BodyOf(err)
-	if body.Error.RetryAfterMS > 0 {
-		w.Header().Set("Retry-After", strconv.FormatInt((body.Error.RetryAfterMS+999)/1000, 10))
+func Write(w http.ResponseWriter, err error) { WriteBody(w, err, BodyOf(err)) }
+
+// WriteBody sends the refusal for an error with a body that says more than Body
+// does in the same shape. It must be the first write to w.
+func WriteBody(w http.ResponseWriter, err error, body any) {
+	if after := BodyOf(err).Error.RetryAfterMS; after > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt((after+999)/1000, 10))
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(Of(err).Answer().Status)
--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -16,13 +16,13 @@
 	"github.com/sourcegraph/conc"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
-	"github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1/zinniaquayv1connect"
 	"github.com/zinniaquay/zinniaquay/internal/clock"
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
 	"github.com/zinniaquay/zinniaquay/internal/evidence"
 	"github.com/zinniaquay/zinniaquay/internal/ledger"
 	"github.com/zinniaquay/zinniaquay/internal/membership"
 	"github.com/zinniaquay/zinniaquay/internal/move"
+	spread "github.com/zinniaquay/zinniaquay/internal/peer"
 	"github.com/zinniaquay/zinniaquay/internal/platform"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
 	"github.com/zinniaquay/zinniaquay/internal/settings"
@@ -53,6 +53,8 @@
 	listener    net.Listener
 	// members is what the process knows of the fleet.
 	members *membership.List
+	// peers spreads the configuration, members and verdicts.
+	peers *spread.Node
 	// holder keeps this process's part of the ledger of service.
 	holder *ledger.Holder
 	// knowledge is what the process knows of versions that traffic moves to.
@@ -88,6 +90,7 @@
 	}
 	b.pool = rpc.NewPool(b.node)
 	b.members = membership.NewList(b.member(role, target))
+	b.peers = b.newPeers()
 	b.holder = ledger.NewHolder(s.GetName(), b.incarnation)
 	b.events = timeline.NewRecorder(s.GetName(), timelineEvents, func() uint64 { return uint64(b.clock.Now()) }, b.registry)
 	return b, nil
@@ -165,7 +168,7 @@
 
 // peerService answers what every process answers to every other one.
 type peerService struct {
-	zinniaquayv1connect.UnimplementedPeerServiceHandler
+	peers  *spread.Node
 	events *timeline.Recorder
 	holder *ledger.Holder
 	status func() *zinniaquayv1.StatusResponse
@@ -173,7 +176,17 @@
 
 // peerService returns the service with the status of a router or sidecar.
 func (b *base) peerService(status func() *zinniaquayv1.StatusResponse) *peerService {
-	return &peerService{events: b.events, holder: b.holder, status: status}
+	return &peerService{peers: b.peers, events: b.events, holder: b.holder, status: status}
+}
+
+// Exchange implements the RPC.
+func (p *peerService) Exchange(ctx context.Context, req *zinniaquayv1.ExchangeRequest) (*zinniaquayv1.ExchangeResponse, error) {
+	return p.peers.Exchange(ctx, req)
+}
+
+// FetchConfiguration implements the RPC.
+func (p *peerService) FetchConfiguration(ctx context.Context, req *zinniaquayv1.FetchConfigurationRequest) (*zinniaquayv1.FetchConfigurationResponse, error) {
+	return p.peers.FetchConfiguration(ctx, req)
 }
 
 // ReportService implements the RPC.
--- a/internal/process/operator.go
+++ b/internal/process/operator.go
@@ -7,6 +7,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
+	"github.com/zinniaquay/zinniaquay/internal/configstore"
 	"github.com/zinniaquay/zinniaquay/internal/errkind"
 	"github.com/zinniaquay/zinniaquay/internal/operator"
 	"github.com/zinniaquay/zinniaquay/internal/report"
@@ -85,6 +86,8 @@
 	mux := httprouter.New()
 	mux.HandleMethodNotAllowed = false
 	reader.Register(mux)
+	config := &operator.Config{Editor: configstore.NewEditor(p.platform, p.store), Store: p.store}
+	config.Register(mux)
 	mux.Handler(http.MethodGet, "/metrics", telemetry.Handler(p.registry))
 	mux.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		errkind.Write(w, errkind.New(errkind.NotFound, "there is nothing at %s %s", r.Method, r.URL.Path))
--- /dev/null
+++ b/internal/process/peers.go
@@ -0,0 +1,62 @@
+package process
+
+import (
+	"context"
+	"time"
+
+	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
+	spread "github.com/zinniaquay/zinniaquay/internal/peer"
+	"github.com/zinniaquay/zinniaquay/internal/rpc"
+)
+
+// announceTimeout bounds the notice of leaving that a process gives its peers.
+const announceTimeout = 2 * time.Second
+
+// newPeers returns the process's part in the spreading of the configuration,
+// members and verdicts, and has every message with a higher number wait for it.
+func (b *base) newPeers() *spread.Node {
+	node := spread.New(spread.Config{
+		Members:  b.members,
+		Store:    b.store,
+		Platform: b.platform,
+		Caller:   &peerCaller{pool: b.pool},
+		Verdicts: b.knowledge,
+		Seeds:    b.settings.GetSeedAddrs(),
+		Log:      b.log,
+		Metrics:  b.registry,
+	})
+	b.node.HeardHigher = func(ctx context.Context, addr string, number uint64) error {
+		return node.EnsureAtLeast(ctx, number, addr)
+	}
+	return node
+}
+
+// announce tells peers of the process's own state.
+func (b *base) announce(state zinniaquayv1.Member_State) {
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+	defer cancel()
+	b.peers.Announce(ctx, state)
+}
+
+// platformAge returns the age of the platform's last answer in milliseconds, or
+// unknownAge.
+func (b *base) platformAge() int64 {
+	spoke := b.peers.PlatformSpoke()
+	if spoke.IsZero() {
+		return unknownAge
+	}
+	return time.Since(spoke).Milliseconds()
+}
+
+// peerCaller calls peers over the pool's connections.
+type peerCaller struct{ pool *rpc.Pool }
+
+// Exchange implements spread.Caller.
+func (c *peerCaller) Exchange(ctx context.Context, addr string, req *zinniaquayv1.ExchangeRequest) (*zinniaquayv1.ExchangeResponse, error) {
+	return c.pool.Get(addr).Peer.Exchange(ctx, req)
+}
+
+// FetchConfiguration implements spread.Caller.
+func (c *peerCaller) FetchConfiguration(ctx context.Context, addr string, req *zinniaquayv1.FetchConfigurationRequest) (*zinniaquayv1.FetchConfigurationResponse, error) {
+	return c.pool.Get(addr).Peer.FetchConfiguration(ctx, req)
+}
--- a/internal/process/router.go
+++ b/internal/process/router.go
@@ -90,6 +90,7 @@
 	serve(&duties, peers, p.listener, failed)
 	duties.Go(func() { p.router.Run(running) })
 	duties.Go(func() { p.recordConfigurations(running) })
+	duties.Go(func() { p.peers.Run(running) })
 	p.events.Record(timeline.ProcessStarted, "", p.node.Addr)
 	duties.Go(func() { p.evidence.Run(running) })
 	select {
@@ -108,7 +109,8 @@
 
 // drain lets what the router holds come to its end.
 func (p *Router) drain() {
-	p.members.SetSelf(zinniaquayv1.Member_leaving)
+	p.announce(zinniaquayv1.Member_leaving)
+	defer p.announce(zinniaquayv1.Member_gone)
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.GetDrainTimeout().AsDuration())
 	defer cancel()
 	if err := p.router.Drain(ctx); err != nil {
@@ -147,6 +149,6 @@
 func (p *Router) status() *zinniaquayv1.StatusResponse {
 	s := p.router.Status()
 	s.Member = p.members.Self()
-	s.PlatformAgeMs = unknownAge
+	s.PlatformAgeMs = p.platformAge()
 	return s
 }
--- a/internal/process/sidecar.go
+++ b/internal/process/sidecar.go
@@ -59,6 +59,7 @@
 	serve(&duties, peers, p.listener, failed)
 	duties.Go(func() { p.sidecar.Run(running) })
 	duties.Go(func() { p.recordConfigurations(running) })
+	duties.Go(func() { p.peers.Run(running) })
 	p.events.Record(timeline.ProcessStarted, "", p.node.Addr)
 	select {
 	case <-ctx.Done():
@@ -76,7 +77,8 @@
 
 // drain lets what the sidecar runs come to its end.
 func (p *Sidecar) drain() {
-	p.members.SetSelf(zinniaquayv1.Member_leaving)
+	p.announce(zinniaquayv1.Member_leaving)
+	defer p.announce(zinniaquayv1.Member_gone)
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.GetDrainTimeout().AsDuration())
 	defer cancel()
 	if err := p.sidecar.Drain(ctx); err != nil {
@@ -97,6 +99,6 @@
 func (p *Sidecar) status() *zinniaquayv1.StatusResponse {
 	s := p.sidecar.Status()
 	s.Member = p.members.Self()
-	s.PlatformAgeMs = unknownAge
+	s.PlatformAgeMs = p.platformAge()
 	return s
 }
