--- /dev/null
+++ b/internal/move/record_test.go
@@ -0,0 +1,109 @@
+package move
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
+)
+
+func TestNextFollowsTheTableOfTransitions(t *testing.T) {
+	full := Progress{OldIdle: true}
+	for _, c := range []struct {
+		name string
+		from State
+		p    Progress
+		to   State
+	}{
+		{"declared", "", Progress{}, Moving},
+		{"waits for evidence", Moving, Progress{Missing: "more"}, Moving},
+		{"old version still starts work", Moving, Progress{}, Moving},
+		{"moved", Moving, full, Done},
+		{"deadline passed", Moving, Progress{Missing: "more", Late: true}, Late},
+		{"moved at the deadline", Moving, Progress{OldIdle: true, Late: true}, Done},
+		{"moved late", Late, full, Done},
+		{"still late", Late, Progress{Missing: "more", Late: true}, Late},
+		{"bad while moving", Moving, Progress{Bad: "b", OldIdle: true}, TakingBack},
+		{"bad when late", Late, Progress{Bad: "b"}, TakingBack},
+		{"bad after the end", Done, Progress{Bad: "b"}, TakingBack},
+		{"good after the end", Done, Progress{Missing: "x", Late: true}, Done},
+		{"new version still runs", TakingBack, Progress{Bad: "b"}, TakingBack},
+		{"new version idle", TakingBack, Progress{Bad: "b", NewIdle: true}, TakenBack},
+		{"final", TakenBack, full, TakenBack},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			to, reason := Next(c.from, c.p)
+			is.Equal(to, c.to)
+			is.Equal(to != c.from, reason != "")
+		})
+	}
+}
+
+func TestShareComesFromDeclarationAndVerdictOnly(t *testing.T) {
+	d := Declaration{Name: "m", SmallShare: 0.05}
+	cleared := func(level uint32, routes ...string) *zinniaquayv1.Verdict {
+		return &zinniaquayv1.Verdict{Cleared: true, Level: level, Routes: routes}
+	}
+	for _, c := range []struct {
+		name string
+		v    *zinniaquayv1.Verdict
+		want float64
+	}{
+		{"nothing known", nil, 0.05},
+		{"bad", &zinniaquayv1.Verdict{}, 0},
+		{"route without evidence", cleared(3, "other"), 0.05},
+		{"route at a level", cleared(1, "r"), 0.25},
+		{"route at the full level", cleared(3, "r"), 1},
+		{"all routes", cleared(3, AllRoutes), 1},
+		{"level from a later release", cleared(9, AllRoutes), 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(d.Share(c.v, "r"), c.want)
+		})
+	}
+}
+
+func TestKnowledgeNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	d := Declaration{Name: "m", SmallShare: 0.05}
+	cleared := func(level uint32, routes ...string) *zinniaquayv1.Verdict {
+		return &zinniaquayv1.Verdict{MoveDigest: d.Digest(), Cleared: true, Level: level, Routes: routes}
+	}
+	bad := &zinniaquayv1.Verdict{MoveDigest: d.Digest(), Reason: "b"}
+	k := NewKnowledge()
+	is.True(k.Learn(cleared(1, "a")))
+	is.True(k.Learn(cleared(0, "b")))
+	is.True(!k.Learn(cleared(1, "a", "b")))
+	is.Equal(d.Share(k.Verdict(d), "b"), 0.25)
+	is.True(k.Learn(cleared(3, AllRoutes)))
+	is.True(!k.Learn(cleared(2, "c")))
+	is.True(k.Learn(bad))
+	is.True(!k.Learn(cleared(3, AllRoutes), bad))
+	is.True(k.Bad(d))
+	renamed := d
+	renamed.Name = "again"
+	is.True(!k.Bad(renamed)) // a later move is judged afresh
+	k.Keep([]Declaration{renamed})
+	is.Equal(len(k.Verdicts()), 0)
+}
+
+func TestRecordKeepsWhatItsSuccessorNeeds(t *testing.T) {
+	is := is.New(t)
+	d := Declaration{Name: "m", From: "v1", To: "v2", SmallShare: 0.05}
+	r, differs := NextRecord(d, nil, Progress{Missing: "x"})
+	is.True(differs)
+	_, differs = NextRecord(d, r, Progress{Missing: "x"})
+	is.True(!differs) // nothing to write
+	r, _ = NextRecord(d, r, Progress{Level: 2, Routes: []string{"r"}})
+	is.Equal(d.Share(RecordVerdict(d, r), "r"), 0.5)
+	r, _ = NextRecord(d, r, Progress{Bad: "b"})
+	is.Equal(d.Share(RecordVerdict(d, r), "r"), 0.0)
+	is.Equal(r.GetReason(), "b")
+	j := NewJudge(d, time.Unix(0, 0))
+	j.Adopt(RecordVerdict(d, r), time.Unix(0, 0))
+	is.True(!j.Verdict().GetCleared()) // a new holder goes on where the old one stopped
+}
--- a/internal/process/router.go
+++ b/internal/process/router.go
@@ -11,8 +11,13 @@
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1/zinniaquayv1connect"
+	"github.com/zinniaquay/zinniaquay/internal/evidence"
+	"github.com/zinniaquay/zinniaquay/internal/move/keeper"
+	"github.com/zinniaquay/zinniaquay/internal/placement"
 	"github.com/zinniaquay/zinniaquay/internal/router"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
+	"github.com/zinniaquay/zinniaquay/internal/settings"
+	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
 // Router is a whole router process.
@@ -21,6 +26,13 @@
 	settings *zinniaquayv1.RouterSettings
 	router   *router.Router
 	callers  net.Listener
+	// evidence holds what targets report on moves.
+	evidence *evidence.Holder
+	// records reads the committed records of moves.
+	records *keeper.Reader
+	// operators listens for operators, who show operatorToken.
+	operators     net.Listener
+	operatorToken settings.Secret
 }
 
 // NewRouter opens the listeners of a router.
@@ -33,7 +45,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
-	p := &Router{base: b, settings: s, callers: callers}
+	token, err := settings.LoadSecret(s.GetOperatorTokenFile())
+	if err != nil {
+		return nil, fmt.Errorf("operators' token: %w", err)
+	}
+	operators, err := net.Listen("tcp", s.GetOperatorAddr())
+	if err != nil {
+		return nil, fmt.Errorf("listen for operators: %w", err)
+	}
+	p := &Router{base: b, settings: s, callers: callers, operators: operators, operatorToken: token}
+	p.evidence = p.newEvidenceHolder()
+	p.records = keeper.NewReader(b.platform)
 	p.router = router.New(router.Options{
 		Addr:         b.node.Addr,
 		MaxBodyBytes: s.GetMaxBodyBytes(),
@@ -42,6 +64,10 @@
 		Log:          log,
 		KV:           b.platform,
 		Registry:     b.registry,
+		Events:       b.events,
+		Versions:     placement.NewChooser(s.GetProcess().GetName(), b.knowledge, p.routerNames),
+
+		VerdictsChanged: b.knowledge.VerdictsChanged,
 	})
 	return p, nil
 }
@@ -49,21 +75,31 @@
 // CallerAddr returns the address (IP:port) for callers.
 func (p *Router) CallerAddr() string { return p.callers.Addr().String() }
 
+// OperatorAddr returns the address (IP:port) for operators.
+func (p *Router) OperatorAddr() string { return p.operators.Addr().String() }
+
 // Run serves until the context ends, then shuts down gracefully.
 func (p *Router) Run(ctx context.Context) error {
 	running, failed := context.WithCancelCause(context.WithoutCancel(ctx))
 	var duties conc.WaitGroup
 	callers := p.callerServer()
 	peers := rpc.NewServer(p.peerHandler())
+	operators := p.operatorServer()
 	serve(&duties, callers, p.callers, failed)
+	serve(&duties, operators, p.operators, failed)
 	serve(&duties, peers, p.listener, failed)
 	duties.Go(func() { p.router.Run(running) })
+	duties.Go(func() { p.recordConfigurations(running) })
+	duties.Go(func() { p.spread.Run(running) })
+	p.events.Record(timeline.ProcessStarted, "", p.node.Addr)
+	duties.Go(func() { p.evidence.Run(running) })
 	select {
 	case <-ctx.Done():
 	case <-running.Done():
 	}
+	p.events.Record(timeline.ProcessDraining, "", "")
 	p.drain()
-	shutdown(p.log, callers, peers)
+	shutdown(p.log, callers, operators, peers)
 	err := context.Cause(running)
 	failed(nil)
 	duties.Wait()
@@ -73,7 +109,7 @@
 
 // drain lets what the router holds come to its end.
 func (p *Router) drain() {
-	p.members.SetSelf(zinniaquayv1.Member_leaving)
+	p.leave()
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.GetDrainTimeout().AsDuration())
 	defer cancel()
 	if err := p.router.Drain(ctx); err != nil {
@@ -90,10 +126,20 @@
 	}
 }
 
+// operatorServer returns the server for operators.
+func (p *Router) operatorServer() *http.Server {
+	return &http.Server{
+		Handler:           p.operatorHandler(p.operatorToken),
+		ReadHeaderTimeout: p.settings.GetReadTimeout().AsDuration(),
+		ReadTimeout:       p.settings.GetReadTimeout().AsDuration(),
+	}
+}
+
 // peerHandler returns the handler for other processes.
 func (p *Router) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(zinniaquayv1connect.NewRouterServiceHandler(p.router, p.interceptors()))
+	mux.Handle(zinniaquayv1connect.NewEvidenceServiceHandler(p.evidence, p.interceptors()))
 	mux.Handle(zinniaquayv1connect.NewPeerServiceHandler(p.peerService(p.status), p.interceptors()))
 	return mux
 }
@@ -102,5 +148,6 @@
 func (p *Router) status() *zinniaquayv1.StatusResponse {
 	s := p.router.Status()
 	s.Member = p.members.Self()
+	s.PlatformAgeMs = p.platformAge()
 	return s
 }
--- a/internal/process/sidecar.go
+++ b/internal/process/sidecar.go
@@ -11,6 +11,8 @@
 	"github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1/zinniaquayv1connect"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
 	"github.com/zinniaquay/zinniaquay/internal/sidecar"
+	"github.com/zinniaquay/zinniaquay/internal/telemetry"
+	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
 // Sidecar is a whole sidecar process.
@@ -37,9 +39,14 @@
 		BufferBytes: s.GetBufferBytes(),
 		Name:        s.GetProcess().GetName(),
 		Metrics:     b.registry,
+		Events:      b.events,
 		Holder:      b.holder,
 		Members:     b.ledgerMembers,
 		Routers:     b.routerAddrs,
+		Knowledge:   b.knowledge,
+		Platform:    b.platform,
+
+		EvidenceRouters: b.evidenceRouters,
 	})
 	return p, nil
 }
@@ -51,10 +58,14 @@
 	peers := rpc.NewServer(p.peerHandler())
 	serve(&duties, peers, p.listener, failed)
 	duties.Go(func() { p.sidecar.Run(running) })
+	duties.Go(func() { p.recordConfigurations(running) })
+	duties.Go(func() { p.spread.Run(running) })
+	p.events.Record(timeline.ProcessStarted, "", p.node.Addr)
 	select {
 	case <-ctx.Done():
 	case <-running.Done():
 	}
+	p.events.Record(timeline.ProcessDraining, "", "")
 	p.drain()
 	shutdown(p.log, peers)
 	err := context.Cause(running)
@@ -66,7 +77,7 @@
 
 // drain lets what the sidecar runs come to its end.
 func (p *Sidecar) drain() {
-	p.members.SetSelf(zinniaquayv1.Member_leaving)
+	p.leave()
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.GetDrainTimeout().AsDuration())
 	defer cancel()
 	if err := p.sidecar.Drain(ctx); err != nil {
@@ -79,6 +90,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(zinniaquayv1connect.NewSidecarServiceHandler(p.sidecar, p.interceptors()))
 	mux.Handle(zinniaquayv1connect.NewPeerServiceHandler(p.peerService(p.status), p.interceptors()))
+	mux.Handle("GET /metrics", telemetry.Handler(p.registry))
 	return mux
 }
 
@@ -86,5 +98,6 @@
 func (p *Sidecar) status() *zinniaquayv1.StatusResponse {
 	s := p.sidecar.Status()
 	s.Member = p.members.Self()
+	s.PlatformAgeMs = p.platformAge()
 	return s
 }
--- a/internal/router/placer.go
+++ b/internal/router/placer.go
@@ -104,7 +104,7 @@
 	p.book.sweep(r.queues, snap.Number)
 	placements := make(map[string]*placement)
 	for k := range r.queues.byKey {
-		for _, target := range p.book.of(k).widen(snap, k, now) {
+		for _, target := range p.book.of(k).widen(r.eligible(snap, k, now), now) {
 			p.add(placements, snap, k, target, now)
 		}
 	}
@@ -131,7 +131,7 @@
 func (p *placer) reserve(k queueKey, target string, held int, now time.Time) []*zinniaquayv1.Reservation {
 	heads := p.router.queues.heads(k, headWindow)
 	if len(heads) == 0 {
-		p.book.forget(k, target, now)
+		delete(p.book.byQueue, k)
 		return nil
 	}
 	p.book.told(k, target, now)
--- a/internal/rpc/pool.go
+++ b/internal/rpc/pool.go
@@ -33,6 +33,8 @@
 	Sidecar zinniaquayv1connect.SidecarServiceClient
 	// Peer calls the process as a peer.
 	Peer zinniaquayv1connect.PeerServiceClient
+	// Evidence calls the process as a holder of evidence on moves.
+	Evidence zinniaquayv1connect.EvidenceServiceClient
 
 	transport *http.Transport
 }
@@ -90,9 +92,13 @@
 	client := &http.Client{Transport: peer.transport}
 	opts := connect.WithInterceptors(&timeoutInterceptor{pool: p, peer: peer}, p.node.Interceptor())
 	base := "http://" + addr
-	peer.Router = zinniaquayv1connect.NewRouterServiceClient(client, base, opts)
-	peer.Sidecar = zinniaquayv1connect.NewSidecarServiceClient(client, base, opts)
+	// Compression of small chunks costs more than half of the path's processor
+	// time and saves nothing on a local network.
+	plain := connect.WithAcceptCompression("gzip", nil, nil)
+	peer.Router = zinniaquayv1connect.NewRouterServiceClient(client, base, opts, plain)
+	peer.Sidecar = zinniaquayv1connect.NewSidecarServiceClient(client, base, opts, plain)
 	peer.Peer = zinniaquayv1connect.NewPeerServiceClient(client, base, opts)
+	peer.Evidence = zinniaquayv1connect.NewEvidenceServiceClient(client, base, opts)
 	return peer
 }
 
