--- a/test/overload_test.go
+++ b/test/overload_test.go
@@ -28,8 +28,8 @@
 	goodputFloor = 0.95
 )
 
-// capacity is how many requests a second the target can answer.
-const capacity = float64(overloadSlots) * float64(time.Second) / float64(overloadRun)
+// targetRate is how many requests a second the target can answer.
+const targetRate = float64(overloadSlots) * float64(time.Second) / float64(overloadRun)
 
 // goodput offers a multiple of the capacity to two routers and returns how many
 // requests a second got their answers before their callers lost patience.
@@ -39,7 +39,7 @@
 		f := newFleet(t, fleetOptions{routers: 2, targets: 1, maxRunning: overloadSlots, target: target.Options{PerToken: overloadRun}})
 		defer f.close()
 		time.Sleep(time.Second)
-		gap := time.Duration(float64(time.Second) / (capacity * multiple))
+		gap := time.Duration(float64(time.Second) / (targetRate * multiple))
 		end := time.Now().Add(overloadTime)
 		for i := 0; time.Now().Before(end); i++ {
 			go func() {
@@ -69,7 +69,7 @@
 				measured[multiple] = goodput(t, multiple, patience)
 				peak = max(peak, measured[multiple])
 			}
-			t.Logf("patience %v, capacity %.0f/s, goodput by multiple of capacity: %.1f", patience, capacity, measured)
+			t.Logf("patience %v, capacity %.0f/s, goodput by multiple of capacity: %.1f", patience, targetRate, measured)
 			for _, multiple := range []float64{2, 4, 8} {
 				is.True(measured[multiple] >= goodputFloor*peak)
 			}
