--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -19,8 +19,10 @@
 	"github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1/zinniaquayv1connect"
 	"github.com/zinniaquay/zinniaquay/internal/clock"
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
+	"github.com/zinniaquay/zinniaquay/internal/evidence"
 	"github.com/zinniaquay/zinniaquay/internal/ledger"
 	"github.com/zinniaquay/zinniaquay/internal/membership"
+	"github.com/zinniaquay/zinniaquay/internal/move"
 	"github.com/zinniaquay/zinniaquay/internal/platform"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
 	"github.com/zinniaquay/zinniaquay/internal/settings"
@@ -32,6 +34,8 @@
 	timelineEvents = 16384
 	// closeTimeout bounds how long servers may take to close after a drain.
 	closeTimeout = 5 * time.Second
+	// unknownAge is the age, in a status, of what has never been heard.
+	unknownAge = -1
 )
 
 // base is what routers and sidecars have in common.
@@ -51,6 +55,8 @@
 	members *membership.List
 	// holder keeps this process's part of the ledger of service.
 	holder *ledger.Holder
+	// knowledge is what the process knows of versions that traffic moves to.
+	knowledge *move.Knowledge
 }
 
 // newBase opens the listener for peers and puts the common parts together.
@@ -69,6 +75,7 @@
 		registry:    metrics.NewRegistry(),
 		clock:       &clock.Clock{},
 		store:       configstore.NewStore(),
+		knowledge:   move.NewKnowledge(),
 		platform:    platform.NewRemote(http.DefaultClient, "http://"+s.GetPlatformAddr()),
 		incarnation: uint64(time.Now().UnixNano()),
 		listener:    listener,
@@ -86,6 +93,29 @@
 	return b, nil
 }
 
+// PeerAddr returns the address (IP:port) for other processes.
+func (b *base) PeerAddr() string { return b.node.Addr }
+
+// Adopt puts a configuration in force unless a higher one is.
+func (b *base) Adopt(doc *zinniaquayv1.Configuration) { b.store.Apply(doc) }
+
+// recordConfigurations puts each configuration that comes into force on the
+// time line, until the context ends.
+func (b *base) recordConfigurations(ctx context.Context) {
+	for last := uint64(0); ; {
+		changed := b.store.Changed()
+		if number := b.store.Number(); number != last {
+			last = number
+			b.events.Record(timeline.ConfigApplied, "", fmt.Sprintf("number %d", number))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
 // member returns the process as its peers see it.
 func (b *base) member(role zinniaquayv1.Member_Role, target string) *zinniaquayv1.Member {
 	return &zinniaquayv1.Member{
@@ -118,6 +148,16 @@
 	return addrs
 }
 
+// evidenceRouters returns the live routers, any of which may hold the evidence
+// on a move.
+func (b *base) evidenceRouters() []evidence.Member {
+	var routers []evidence.Member
+	for _, m := range b.members.Live(zinniaquayv1.Member_router) {
+		routers = append(routers, evidence.Member{Name: m.GetName(), Addr: m.GetAddr()})
+	}
+	return routers
+}
+
 // interceptors returns the options that every handler for peers takes.
 func (b *base) interceptors() connect.HandlerOption {
 	return connect.WithInterceptors(b.node.Interceptor())
--- a/internal/process/operator.go
+++ b/internal/process/operator.go
@@ -80,7 +80,7 @@
 
 // operatorHandler returns the handler for operators.
 func (p *Router) operatorHandler(token settings.Secret) http.Handler {
-	f := &fleet{base: p.base, status: p.status}
+	f := &fleet{base: p.base, status: p.operatorStatus}
 	reader := &operator.Reader{Collector: report.NewCollector(f), Sources: f.sources}
 	mux := httprouter.New()
 	mux.HandleMethodNotAllowed = false
--- a/internal/process/router.go
+++ b/internal/process/router.go
@@ -11,9 +11,13 @@
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1/zinniaquayv1connect"
+	"github.com/zinniaquay/zinniaquay/internal/evidence"
+	"github.com/zinniaquay/zinniaquay/internal/move/keeper"
+	"github.com/zinniaquay/zinniaquay/internal/placement"
 	"github.com/zinniaquay/zinniaquay/internal/router"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
 	"github.com/zinniaquay/zinniaquay/internal/settings"
+	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
 // Router is a whole router process.
@@ -22,6 +26,10 @@
 	settings *zinniaquayv1.RouterSettings
 	router   *router.Router
 	callers  net.Listener
+	// evidence holds what targets report on moves.
+	evidence *evidence.Holder
+	// records reads the committed records of moves.
+	records *keeper.Reader
 	// operators listens for operators, who show operatorToken.
 	operators     net.Listener
 	operatorToken settings.Secret
@@ -46,6 +54,8 @@
 		return nil, fmt.Errorf("listen for operators: %w", err)
 	}
 	p := &Router{base: b, settings: s, callers: callers, operators: operators, operatorToken: token}
+	p.evidence = p.newEvidenceHolder()
+	p.records = keeper.NewReader(b.platform)
 	p.router = router.New(router.Options{
 		Addr:         b.node.Addr,
 		MaxBodyBytes: s.GetMaxBodyBytes(),
@@ -54,6 +64,10 @@
 		Log:          log,
 		KV:           b.platform,
 		Registry:     b.registry,
+		Events:       b.events,
+		Versions:     placement.NewChooser(s.GetProcess().GetName(), b.knowledge, p.routerNames),
+
+		VerdictsChanged: b.knowledge.VerdictsChanged,
 	})
 	return p, nil
 }
@@ -75,10 +89,14 @@
 	serve(&duties, operators, p.operators, failed)
 	serve(&duties, peers, p.listener, failed)
 	duties.Go(func() { p.router.Run(running) })
+	duties.Go(func() { p.recordConfigurations(running) })
+	p.events.Record(timeline.ProcessStarted, "", p.node.Addr)
+	duties.Go(func() { p.evidence.Run(running) })
 	select {
 	case <-ctx.Done():
 	case <-running.Done():
 	}
+	p.events.Record(timeline.ProcessDraining, "", "")
 	p.drain()
 	shutdown(p.log, callers, operators, peers)
 	err := context.Cause(running)
@@ -120,6 +138,7 @@
 func (p *Router) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(zinniaquayv1connect.NewRouterServiceHandler(p.router, p.interceptors()))
+	mux.Handle(zinniaquayv1connect.NewEvidenceServiceHandler(p.evidence, p.interceptors()))
 	mux.Handle(zinniaquayv1connect.NewPeerServiceHandler(p.peerService(p.status), p.interceptors()))
 	return mux
 }
@@ -128,5 +147,6 @@
 func (p *Router) status() *zinniaquayv1.StatusResponse {
 	s := p.router.Status()
 	s.Member = p.members.Self()
+	s.PlatformAgeMs = unknownAge
 	return s
 }
--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -17,7 +17,9 @@
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
 	"github.com/zinniaquay/zinniaquay/internal/errkind"
+	"github.com/zinniaquay/zinniaquay/internal/move"
 	"github.com/zinniaquay/zinniaquay/internal/telemetry"
+	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
 const (
@@ -79,6 +81,7 @@
 			return
 		}
 		r.refusals.add(errkind.Of(err))
+		r.opts.Events.Record(timeline.RequestRefused, id, err.Error())
 		r.opts.Log.Info("request refused", telemetry.KeyRequest, id, "kind", errkind.Of(err), "err", err.Error())
 		if errors.Is(err, errAnswerBegun) {
 			// An answer that was begun must not look complete.
@@ -228,9 +231,9 @@
 		account:  account,
 		service:  name,
 		version:  s.GetVersion(),
+		route:    move.RouteOf(work.GetMethod(), work.GetPath()),
 		work:     work,
 		hint:     hint,
-		arrived:  now,
 		deadline: now.Add(timeout),
 		evicted:  make(chan struct{}),
 		granted:  make(chan holder, 1),
--- a/internal/router/queues.go
+++ b/internal/router/queues.go
@@ -39,6 +39,15 @@
 	q.insert(len(q.byKey[key(r)]), r)
 }
 
+// pushByAge puts a request in its queue among those that were queued about when
+// it was.
+func (q *queues) pushByAge(r *request) {
+	at, _ := slices.BinarySearchFunc(q.byKey[key(r)], r.queuedAt, func(other *request, t time.Time) int {
+		return other.queuedAt.Compare(t)
+	})
+	q.insert(at, r)
+}
+
 // pushFront puts a request back at the head of its queue.
 func (q *queues) pushFront(r *request) {
 	q.insert(0, r)
@@ -83,6 +92,14 @@
 	return r
 }
 
+// oldest returns the request of a queue that has waited for longest, or nil.
+func (q *queues) oldest(k queueKey) *request {
+	if len(q.byKey[k]) == 0 {
+		return nil
+	}
+	return q.byKey[k][0]
+}
+
 // heads returns the n requests of a queue that are to run first: the oldest
 // ones, or the newest ones first once the oldest has waited for overloadAfter.
 // Under overload the oldest are those whose callers are about to go, and work
@@ -90,7 +107,7 @@
 func (q *queues) heads(k queueKey, n int, now time.Time) []*request {
 	queue := q.byKey[k]
 	n = min(n, len(queue))
-	if n == 0 || now.Sub(queue[0].arrived) < overloadAfter {
+	if n == 0 || now.Sub(queue[0].queuedAt) < overloadAfter {
 		return queue[:n]
 	}
 	newest := slices.Clone(queue[len(queue)-n:])
@@ -105,7 +122,7 @@
 	for _, queue := range q.byKey {
 		last := queue[len(queue)-1]
 		if newest == nil || q.perAcct[last.account] > q.perAcct[newest.account] ||
-			last.account == newest.account && last.arrived.After(newest.arrived) {
+			last.account == newest.account && last.queuedAt.After(newest.queuedAt) {
 			newest = last
 		}
 	}
