--- a/internal/router/queues.go
+++ b/internal/router/queues.go
@@ -92,14 +92,6 @@
 	return r
 }
 
-// oldest returns the request of a queue that has waited for longest, or nil.
-func (q *queues) oldest(k queueKey) *request {
-	if len(q.byKey[k]) == 0 {
-		return nil
-	}
-	return q.byKey[k][0]
-}
-
 // heads returns the n requests of a queue that are to run first: the oldest
 // ones, or the newest ones first once the oldest has waited for overloadAfter.
 // Under overload the oldest are those whose callers are about to go, and work
