--- a/internal/router/admit_test.go
+++ b/internal/router/admit_test.go
@@ -22,7 +22,7 @@
 	r := New(Options{Store: store, Log: logr.Discard(), MaxWaiting: 10})
 	enqueue := func(account string, i int) (*request, error) {
 		req := &request{
-			id: fmt.Sprint(account, i), account: account, arrived: time.Unix(int64(i), 0),
+			id: fmt.Sprint(account, i), account: account, queuedAt: time.Unix(int64(i), 0),
 			evicted: make(chan struct{}), granted: make(chan holder, 1),
 		}
 		return req, r.enqueue(req, store.Current())
