--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -252,3 +252,10 @@
 		_ = os.RemoveAll(f.dir)
 	}
 }
+
+// SetFaults replaces the faults of all model engines. New requests have them.
+func (f *Fleet) SetFaults(faults target.Faults) {
+	for _, e := range f.engines {
+		e.SetFaults(faults)
+	}
+}
--- a/internal/standin/target/chat.go
+++ b/internal/standin/target/chat.go
@@ -86,6 +86,10 @@
 func (e *Engine) generate(ctx context.Context, r *run) {
 	wait := e.options.FirstToken
 	for i := range r.answer.Tokens() {
+		if r.faults.StopHalfWay && i == r.answer.Tokens()/2 {
+			r.stream.end(true)
+			return
+		}
 		perToken, running := e.batch.tokenTime()
 		factor := r.faults.slowdown(running)
 		if !pause(ctx, r.fallen, time.Duration(float64(wait+perToken)*factor)) {
@@ -137,7 +141,7 @@
 func limitOf(started *run) limit {
 	half := len(started.answer.Stream()) / 2
 	switch {
-	case started.faults.StopHalfWay:
+	case started.faults.DropHalfWay:
 		return limit{bytes: half, abort: true}
 	case started.faults.Silent:
 		return limit{bytes: half}
@@ -161,7 +165,7 @@
 	defer st.detach()
 	for {
 		p := st.from(0)
-		if p.ended && p.broken {
+		if p.ended && p.broken && !started.faults.StopHalfWay {
 			writeError(w, http.StatusInternalServerError, errFallen)
 			return
 		}
--- a/internal/standin/target/faults.go
+++ b/internal/standin/target/faults.go
@@ -9,8 +9,11 @@
 type Faults struct {
 	// Garbage answers with bytes that make no sense.
 	Garbage bool `json:"garbage"`
-	// StopHalfWay closes the connection after half of the answer.
+	// StopHalfWay gives an answer up after half of it, for good.
 	StopHalfWay bool `json:"stop_half_way"`
+	// DropHalfWay closes a stream's first connection half way; a new connection
+	// can resume it.
+	DropHalfWay bool `json:"drop_half_way"`
 	// ExtraAfterEnd is the number of events that follow the end of a stream.
 	ExtraAfterEnd int `json:"extra_after_end"`
 	// Silent lets a stream's first connection fall silent half way; a new
--- a/internal/standin/target/target_test.go
+++ b/internal/standin/target/target_test.go
@@ -170,6 +170,10 @@
 	half := call(t.Context(), e, "POST", chatPath, "h", body)
 	is.True(half.aborted)
 	is.True(!strings.Contains(half.Body.String(), "[DONE]"))
+	is.True(call(t.Context(), e, "GET", "/v1/streams/h?from=0", "", "").aborted) // for good
+	e.SetFaults(Faults{DropHalfWay: true})
+	is.True(call(t.Context(), e, "POST", chatPath, "d", body).aborted)
+	is.Equal(call(t.Context(), e, "GET", "/v1/streams/d?from=0", "", "").Body.String(), string(NewAnswer(request, "d", "").Stream()))
 	e.SetFaults(Faults{ExtraAfterEnd: 2})
 	extra := call(t.Context(), e, "POST", chatPath, "x", body).Body.String()
 	is.True(strings.HasPrefix(extra, string(NewAnswer(request, "x", "").Stream())))
