--- a/internal/move/cusum.go
+++ b/internal/move/cusum.go
@@ -27,7 +27,7 @@
 	// target adds in one slice of time: a short episode at one host is no fault
 	// of a version. Hosts are slow for some seconds more often than they fail.
 	failureGain  = 1.0 / 5
-	slownessGain = 1.0 / 16
+	slownessGain = 1.0 / 10
 	// sliceLength is the length of a slice of time.
 	sliceLength = time.Second
 )
--- a/internal/process/router.go
+++ b/internal/process/router.go
@@ -11,6 +11,9 @@
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1/zinniaquayv1connect"
+	"github.com/zinniaquay/zinniaquay/internal/evidence"
+	"github.com/zinniaquay/zinniaquay/internal/move/keeper"
+	"github.com/zinniaquay/zinniaquay/internal/placement"
 	"github.com/zinniaquay/zinniaquay/internal/router"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
 	"github.com/zinniaquay/zinniaquay/internal/settings"
@@ -23,6 +26,10 @@
 	settings *zinniaquayv1.RouterSettings
 	router   *router.Router
 	callers  net.Listener
+	// evidence holds what targets report on moves.
+	evidence *evidence.Holder
+	// records reads the committed records of moves.
+	records *keeper.Reader
 	// operators listens for operators, who show operatorToken.
 	operators     net.Listener
 	operatorToken settings.Secret
@@ -47,6 +54,8 @@
 		return nil, fmt.Errorf("listen for operators: %w", err)
 	}
 	p := &Router{base: b, settings: s, callers: callers, operators: operators, operatorToken: token}
+	p.evidence = p.newEvidenceHolder()
+	p.records = keeper.NewReader(b.platform)
 	p.router = router.New(router.Options{
 		Addr:         b.node.Addr,
 		MaxBodyBytes: s.GetMaxBodyBytes(),
@@ -56,6 +65,9 @@
 		KV:           b.platform,
 		Registry:     b.registry,
 		Events:       b.events,
+		Versions:     placement.NewChooser(s.GetProcess().GetName(), b.knowledge, p.routerNames),
+
+		VerdictsChanged: b.knowledge.VerdictsChanged,
 	})
 	return p, nil
 }
@@ -78,7 +90,9 @@
 	serve(&duties, peers, p.listener, failed)
 	duties.Go(func() { p.router.Run(running) })
 	duties.Go(func() { p.recordConfigurations(running) })
+	duties.Go(func() { p.spread.Run(running) })
 	p.events.Record(timeline.ProcessStarted, "", p.node.Addr)
+	duties.Go(func() { p.evidence.Run(running) })
 	select {
 	case <-ctx.Done():
 	case <-running.Done():
@@ -95,7 +109,7 @@
 
 // drain lets what the router holds come to its end.
 func (p *Router) drain() {
-	p.members.SetSelf(zinniaquayv1.Member_leaving)
+	p.leave()
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.GetDrainTimeout().AsDuration())
 	defer cancel()
 	if err := p.router.Drain(ctx); err != nil {
@@ -125,6 +139,7 @@
 func (p *Router) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(zinniaquayv1connect.NewRouterServiceHandler(p.router, p.interceptors()))
+	mux.Handle(zinniaquayv1connect.NewEvidenceServiceHandler(p.evidence, p.interceptors()))
 	mux.Handle(zinniaquayv1connect.NewPeerServiceHandler(p.peerService(p.status), p.interceptors()))
 	return mux
 }
@@ -133,6 +148,6 @@
 func (p *Router) status() *zinniaquayv1.StatusResponse {
 	s := p.router.Status()
 	s.Member = p.members.Self()
-	s.PlatformAgeMs = unknownAge
+	s.PlatformAgeMs = p.platformAge()
 	return s
 }
