--- a/cmd/zinniaquay/golden_test.go
+++ b/cmd/zinniaquay/golden_test.go
@@ -59,6 +59,7 @@
 		stop()
 		ts.Check(<-ended)
 	})
+	ts.Check(f.Wait(ctx))
 	fleets.Store(ts.Name(), f)
 	ts.Setenv("CALLER", "http://"+f.CallerAddr())
 	ts.Setenv("OPERATOR", "http://"+f.OperatorAddr())
