--- a/internal/errkind/errkind_test.go
+++ b/internal/errkind/errkind_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net/http/httptest"
+	"os"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -32,3 +34,14 @@
 	}
 	is.Equal(Kind("no such kind").Answer(), Internal.Answer())
 }
+
+func TestPageForCallersHasTheTable(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/callers.md")
+	is.NoErr(err)
+	yes := map[bool]string{true: "yes", false: "no"}
+	for kind, a := range table {
+		row := fmt.Sprintf("| `%s` | %d | %s | %s | ", kind, a.Status, yes[a.NotRun], yes[a.Retryable])
+		is.True(strings.Contains(string(page), row)) // docs/callers.md
+	}
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -71,8 +71,12 @@
 // quantiles are the parts of a distribution that are shown.
 var quantiles = []float64{0.5, 0.95, 0.99}
 
+// plainName makes a name that readers of the text format accept.
+var plainName = strings.NewReplacer(".", "_", "-", "_")
+
 func seriesOf(name string, metric any) []series {
 	family, rest, labelled := strings.Cut(name, "{")
+	family = plainName.Replace(family)
 	labels := ""
 	if labelled {
 		labels = "{" + rest
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -32,7 +32,7 @@
 	r := metrics.NewRegistry()
 	metrics.GetOrRegisterCounter(Name("refused_total", "kind", "queue_full"), r).Inc(3)
 	metrics.GetOrRegisterCounter(Name("refused_total", "kind", "draining"), r).Inc(1)
-	metrics.GetOrRegisterGauge("waiting_requests", r).Update(7)
+	metrics.GetOrRegisterGauge("waiting.requests", r).Update(7)
 	h := metrics.NewHistogram(metrics.NewUniformSample(8))
 	is.NoErr(r.Register(Name("first_byte_microseconds", "service", "m"), h))
 	h.Update(5)
