--- a/internal/router/versions.go
+++ b/internal/router/versions.go
@@ -47,8 +47,8 @@
 // eligible returns the targets that may hear of a queue. The caller holds the
 // lock.
 func (r *Router) eligible(snap *configstore.Snapshot, k queueKey, now time.Time) []string {
-	heads := r.queues.heads(k, 1)
-	if r.opts.Versions != nil && len(heads) > 0 && now.Sub(heads[0].queuedAt) < concentrateFor {
+	queue := r.queues.byKey[k]
+	if r.opts.Versions != nil && len(queue) > 0 && now.Sub(queue[0].queuedAt) < concentrateFor {
 		return r.opts.Versions.Targets(snap, k.service, k.version)
 	}
 	var targets []string
