Run the deployments as separate processes from examples/

examples/run starts the stand-in of the platform, a stand-in and a sidecar for each target, and two routers, each a process with its settings file, and drains them in order. The files are generated from the demo's deployments; a test loads each and fails when one is stale.

Shown failing first: another weight in the deployment than in the files.

--- a/cmd/zinniaquay/standin.go
+++ b/cmd/zinniaquay/standin.go
@@ -6,11 +6,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"strings"
 	"time"
 
 	"github.com/sourcegraph/conc"
 	"github.com/spf13/cobra"
 
+	"github.com/zinniaquay/zinniaquay/internal/configstore"
 	"github.com/zinniaquay/zinniaquay/internal/platform"
 	"github.com/zinniaquay/zinniaquay/internal/standin/platformserver"
 	"github.com/zinniaquay/zinniaquay/internal/standin/target"
@@ -36,21 +39,61 @@
 }
 
 func newStandinPlatform() *cobra.Command {
-	var addr string
+	var addr, configuration string
+	var routers []string
 	cmd := &cobra.Command{
 		Use:   "platform",
 		Short: "Run a stand-in of the platform's services in memory",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			memory := platform.NewMemory()
+			if configuration != "" {
+				if err := loadConfiguration(cmd.Context(), memory, configuration); err != nil {
+					return err
+				}
+			}
+			if err := listRouters(memory, routers); err != nil {
+				return usage(err)
+			}
 			mux := http.NewServeMux()
-			mux.Handle(platformserver.New(platform.NewMemory()).Handler())
+			mux.Handle(platformserver.New(memory).Handler())
 			return serveStandin(cmd, addr, mux)
 		},
 	}
 	cmd.Flags().StringVar(&addr, "addr", "127.0.0.1:2379", "address (IP:port) to listen at")
+	cmd.Flags().StringVar(&configuration, "configuration", "", "JSON file with the configuration to begin with; its sidecars are listed as hosts")
+	cmd.Flags().StringArrayVar(&routers, "router", nil, "router to list as a host, as NAME,ADDR,ZONE; may be repeated")
 	return cmd
 }
 
+// loadConfiguration commits a configuration and lists its sidecars as hosts.
+func loadConfiguration(ctx context.Context, memory *platform.Memory, path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("read configuration: %w", err)
+	}
+	store := configstore.NewStore()
+	if _, err := configstore.NewEditor(memory, store).Patch(ctx, 0, text); err != nil {
+		return fmt.Errorf("commit configuration: %w %v", err, configstore.FaultsOf(err))
+	}
+	for name, t := range store.Current().Doc.GetTargets() {
+		memory.SetHost(platform.Host{Name: "sidecar-" + name, Addr: t.GetSidecarAddr(), Zone: t.GetZone(), Role: "sidecar"})
+	}
+	return nil
+}
+
+// listRouters lists routers as hosts.
+func listRouters(memory *platform.Memory, routers []string) error {
+	for _, router := range routers {
+		parts := strings.Split(router, ",")
+		if len(parts) != 3 {
+			return fmt.Errorf("router %q is not NAME,ADDR,ZONE", router)
+		}
+		memory.SetHost(platform.Host{Name: parts[0], Addr: parts[1], Zone: parts[2], Role: "router"})
+	}
+	return nil
+}
+
 func newStandinTarget() *cobra.Command {
 	var addr string
 	var plain bool
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -13,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
+	"github.com/zinniaquay/zinniaquay/internal/settings"
 	"github.com/zinniaquay/zinniaquay/internal/standin/target"
 	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
@@ -96,3 +99,28 @@
 	}
 	return kinds
 }
+
+func TestExamplesAreSoundAndWhatTheDeploymentsGive(t *testing.T) {
+	for _, name := range Names() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d, err := Find(name)
+			is.NoErr(err)
+			files, err := d.Example()
+			is.NoErr(err)
+			for file, want := range files {
+				path := filepath.Join("../../examples", name, file)
+				have, err := os.ReadFile(path)
+				is.NoErr(err)
+				is.Equal(string(have), string(want)) // stale: run go generate ./internal/demo
+				switch {
+				case strings.HasPrefix(file, "router"):
+					_, err = settings.LoadRouter(path)
+				case strings.HasPrefix(file, "sidecar"):
+					_, err = settings.LoadSidecar(path)
+				}
+				is.NoErr(err)
+			}
+		})
+	}
+}
--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -38,6 +38,8 @@
 	Prompt string
 }
 
+//go:generate go run ./examplegen -out ../../examples
+
 // Deployment is one organisation's fleet.
 type Deployment struct {
 	// Name as the command line gives it.
