--- a/internal/process/sidecar.go
+++ b/internal/process/sidecar.go
@@ -59,7 +59,7 @@
 	serve(&duties, peers, p.listener, failed)
 	duties.Go(func() { p.sidecar.Run(running) })
 	duties.Go(func() { p.recordConfigurations(running) })
-	duties.Go(func() { p.spread.Run(running) })
+	duties.Go(func() { p.peers.Run(running) })
 	p.events.Record(timeline.ProcessStarted, "", p.node.Addr)
 	select {
 	case <-ctx.Done():
@@ -77,7 +77,8 @@
 
 // drain lets what the sidecar runs come to its end.
 func (p *Sidecar) drain() {
-	p.leave()
+	p.announce(zinniaquayv1.Member_leaving)
+	defer p.announce(zinniaquayv1.Member_gone)
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.GetDrainTimeout().AsDuration())
 	defer cancel()
 	if err := p.sidecar.Drain(ctx); err != nil {
--- a/internal/router/placer_test.go
+++ b/internal/router/placer_test.go
@@ -34,7 +34,7 @@
 		res, err := r.Claim(t.Context(), &zinniaquayv1.ClaimRequest{RequestId: req.handoutID(), Target: "t1", Account: "village"})
 		is.NoErr(err)
 		is.True(res.GetGranted())
-		is.Equal(res.GetNext(), nil) // the queue is empty
+		is.Equal(len(res.GetNext()), 0) // the queue is empty
 		now = now.Add(time.Millisecond)
 	}
 }
--- a/test/network_test.go
+++ b/test/network_test.go
@@ -22,6 +22,9 @@
 	listeners map[string]*memListener
 	conns     map[*link]struct{}
 	dead      map[string]bool
+	// kills counts how often a host was killed, so that what is left of a
+	// killed process can't act after a restart.
+	kills     map[string]int
 	heldUntil map[string]time.Time
 	parted    map[[2]string]bool
 }
@@ -32,6 +35,7 @@
 		listeners: make(map[string]*memListener),
 		conns:     make(map[*link]struct{}),
 		dead:      make(map[string]bool),
+		kills:     make(map[string]int),
 		heldUntil: make(map[string]time.Time),
 		parted:    make(map[[2]string]bool),
 	}
@@ -62,8 +66,11 @@
 	return l
 }
 
-// dialer returns what a host dials with.
+// dialer returns what a process on a host dials with, until it is killed.
 func (n *network) dialer(from string) func(context.Context, string, string) (net.Conn, error) {
+	n.mu.Lock()
+	kills := n.kills[from]
+	n.mu.Unlock()
 	return func(ctx context.Context, _, addr string) (net.Conn, error) {
 		if err := n.reach(ctx, from, host(addr)); err != nil {
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: err}
@@ -71,7 +78,7 @@
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		l := n.listeners[addr]
-		if n.closed || l == nil || n.dead[from] || n.dead[host(addr)] {
+		if n.closed || l == nil || kills != n.kills[from] || n.dead[host(addr)] {
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 		}
 		c := n.connect(from, host(addr))
@@ -170,6 +177,7 @@
 func (n *network) kill(h string) {
 	n.mu.Lock()
 	n.dead[h] = true
+	n.kills[h]++
 	var doomed []*link
 	for c := range n.conns {
 		if c.from == h || c.to == h {
