Count the process itself to its end, and not divide by nobody

A planned stop of the last process of a fleet would have panicked. Red first: the new test fails on the old count.

--- a/internal/membership/choose.go
+++ b/internal/membership/choose.go
@@ -12,11 +12,12 @@
 // watch the platform for the others.
 const WatchersPerZone = 2
 
-// Size returns the number of members that are not gone, the process included.
+// Size returns the number of members that are not gone. The process itself
+// counts to its end, also once it has called itself gone.
 func (l *List) Size() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.records) - l.gone
+	return len(l.ring()) + 1
 }
 
 // Zones returns the number of availability zones with members that are not gone.
--- a/internal/membership/list_test.go
+++ b/internal/membership/list_test.go
@@ -144,6 +144,13 @@
 	is.Equal(lists[0].Size(), processes)
 }
 
+func TestAProcessThatIsGoneStillCountsItself(t *testing.T) {
+	is := is.New(t)
+	l := NewList(router("r1", "z", 1))
+	l.SetSelf(zinniaquayv1.Member_gone)
+	is.Equal(l.Size(), 1)
+}
+
 func TestNeighboursConnectTheFleet(t *testing.T) {
 	is := is.New(t)
 	var all []*zinniaquayv1.Member
