--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -22,7 +22,7 @@
 	"github.com/zinniaquay/zinniaquay/internal/ledger"
 	"github.com/zinniaquay/zinniaquay/internal/membership"
 	"github.com/zinniaquay/zinniaquay/internal/move"
-	spread "github.com/zinniaquay/zinniaquay/internal/peer"
+	"github.com/zinniaquay/zinniaquay/internal/peer"
 	"github.com/zinniaquay/zinniaquay/internal/platform"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
 	"github.com/zinniaquay/zinniaquay/internal/settings"
@@ -54,7 +54,7 @@
 	// members is what the process knows of the fleet.
 	members *membership.List
 	// peers spreads the configuration, members and verdicts.
-	peers *spread.Node
+	peers *peer.Node
 	// holder keeps this process's part of the ledger of service.
 	holder *ledger.Holder
 	// knowledge is what the process knows of versions that traffic moves to.
@@ -99,9 +99,6 @@
 // PeerAddr returns the address (IP:port) for other processes.
 func (b *base) PeerAddr() string { return b.node.Addr }
 
-// Adopt puts a configuration in force unless a higher one is.
-func (b *base) Adopt(doc *zinniaquayv1.Configuration) { b.store.Apply(doc) }
-
 // recordConfigurations puts each configuration that comes into force on the
 // time line, until the context ends.
 func (b *base) recordConfigurations(ctx context.Context) {
@@ -168,7 +165,7 @@
 
 // peerService answers what every process answers to every other one.
 type peerService struct {
-	peers  *spread.Node
+	peers  *peer.Node
 	events *timeline.Recorder
 	holder *ledger.Holder
 	status func() *zinniaquayv1.StatusResponse
--- a/internal/process/peers.go
+++ b/internal/process/peers.go
@@ -5,7 +5,7 @@
 	"time"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
-	spread "github.com/zinniaquay/zinniaquay/internal/peer"
+	"github.com/zinniaquay/zinniaquay/internal/peer"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
 )
 
@@ -14,8 +14,8 @@
 
 // newPeers returns the process's part in the spreading of the configuration,
 // members and verdicts, and has every message with a higher number wait for it.
-func (b *base) newPeers() *spread.Node {
-	node := spread.New(spread.Config{
+func (b *base) newPeers() *peer.Node {
+	node := peer.New(peer.Config{
 		Members:  b.members,
 		Store:    b.store,
 		Platform: b.platform,
@@ -51,12 +51,16 @@
 // peerCaller calls peers over the pool's connections.
 type peerCaller struct{ pool *rpc.Pool }
 
-// Exchange implements spread.Caller.
+// Exchange implements peer.Caller.
 func (c *peerCaller) Exchange(ctx context.Context, addr string, req *zinniaquayv1.ExchangeRequest) (*zinniaquayv1.ExchangeResponse, error) {
 	return c.pool.Get(addr).Peer.Exchange(ctx, req)
 }
 
-// FetchConfiguration implements spread.Caller.
+// FetchConfiguration implements peer.Caller.
 func (c *peerCaller) FetchConfiguration(ctx context.Context, addr string, req *zinniaquayv1.FetchConfigurationRequest) (*zinniaquayv1.FetchConfigurationResponse, error) {
 	return c.pool.Get(addr).Peer.FetchConfiguration(ctx, req)
 }
+
+// Started returns a channel that is closed once the process knows which
+// configuration it may act on.
+func (b *base) Started() <-chan struct{} { return b.peers.Started() }
