--- a/internal/evidence/fleet_test.go
+++ b/internal/evidence/fleet_test.go
@@ -111,8 +111,13 @@
 
 	mu   sync.Mutex
 	hits map[string][]time.Time
+	// firstTokens holds the time to the first token of each answer.
+	firstTokens []time.Duration
+	// deaf processes pay no heed to the numbers on messages.
+	deaf bool
 
-	targets []string
+	sidecars map[string]*sidecar.Sidecar
+	targets  []string
 }
 
 // declared is the move of a fleet's configuration.
@@ -130,7 +135,7 @@
 	f := &fleet{
 		t: t, net: &memory{listeners: map[string]*listener{}}, platform: platform.NewMemory(),
 		stores: map[string]*configstore.Store{}, routers: map[string]*router.Router{}, holders: map[string]*evidence.Holder{},
-		knows: map[string]*move.Knowledge{}, engines: map[string]*target.Engine{}, hits: map[string][]time.Time{},
+		knows: map[string]*move.Knowledge{}, engines: map[string]*target.Engine{}, hits: map[string][]time.Time{}, sidecars: map[string]*sidecar.Sidecar{},
 		doc: &zinniaquayv1.Configuration{
 			Number:   1,
 			Accounts: map[string]*zinniaquayv1.ClientAccount{"village": {KeySha256: []string{hex.EncodeToString(digest[:])}}},
@@ -177,6 +182,14 @@
 	store.Apply(proto.CloneOf(f.doc))
 	f.stores[addr] = store
 	node := &rpc.Node{Token: "fleet", Addr: addr, Clock: &clock.Clock{}, ConfigurationNumber: store.Number, Dial: f.net.dial}
+	// A process that hears a higher number fetches it from where it heard it.
+	node.HeardHigher = func(_ context.Context, from string, _ uint64) error {
+		if f.deaf {
+			return nil
+		}
+		store.Apply(proto.CloneOf(f.stores[from].Current().Doc))
+		return nil
+	}
 	pool := rpc.NewPool(node)
 	f.t.Cleanup(pool.Close)
 	return node, pool
@@ -239,6 +252,7 @@
 			return addrs
 		},
 	})
+	f.sidecars[name] = s
 	f.run(s.Run)
 	mux := http.NewServeMux()
 	mux.Handle(zinniaquayv1connect.NewSidecarServiceHandler(s, connect.WithInterceptors(node.Interceptor())))
@@ -264,11 +278,29 @@
 	body := strings.NewReader(`{"model":"planner","stream":true,"max_tokens":5}`)
 	req := httptest.NewRequestWithContext(f.t.Context(), http.MethodPost, "/v1/chat/completions", body)
 	req.Header.Set("Authorization", "Bearer key")
-	w := httptest.NewRecorder()
+	w := &firstWrite{ResponseRecorder: httptest.NewRecorder()}
+	begin := time.Now()
 	f.routers[routerName].CallerHandler().ServeHTTP(w, req)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.firstTokens = append(f.firstTokens, w.at.Sub(begin))
 	return w.Code
 }
 
+// firstWrite notes when the first part of an answer's body is written.
+type firstWrite struct {
+	*httptest.ResponseRecorder
+	at time.Time
+}
+
+// Write implements http.ResponseWriter.
+func (w *firstWrite) Write(b []byte) (int, error) {
+	if w.at.IsZero() {
+		w.at = time.Now()
+	}
+	return w.ResponseRecorder.Write(b)
+}
+
 // traffic sends requests to all routers in turn at a rate for a time, and waits
 // until all are answered. It returns the number of answers by status.
 func (f *fleet) traffic(every, length time.Duration) map[int]int {
