--- a/internal/process/router.go
+++ b/internal/process/router.go
@@ -17,6 +17,7 @@
 	"github.com/zinniaquay/zinniaquay/internal/router"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
 	"github.com/zinniaquay/zinniaquay/internal/settings"
+	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
 // Router is a whole router process.
@@ -63,6 +64,7 @@
 		Log:          log,
 		KV:           b.platform,
 		Registry:     b.registry,
+		Events:       b.events,
 		Versions:     placement.NewChooser(s.GetProcess().GetName(), b.knowledge, p.routerNames),
 
 		VerdictsChanged: b.knowledge.VerdictsChanged,
@@ -87,11 +89,15 @@
 	serve(&duties, operators, p.operators, failed)
 	serve(&duties, peers, p.listener, failed)
 	duties.Go(func() { p.router.Run(running) })
+	duties.Go(func() { p.recordConfigurations(running) })
+	duties.Go(func() { p.spread.Run(running) })
+	p.events.Record(timeline.ProcessStarted, "", p.node.Addr)
 	duties.Go(func() { p.evidence.Run(running) })
 	select {
 	case <-ctx.Done():
 	case <-running.Done():
 	}
+	p.events.Record(timeline.ProcessDraining, "", "")
 	p.drain()
 	shutdown(p.log, callers, operators, peers)
 	err := context.Cause(running)
@@ -103,7 +109,7 @@
 
 // drain lets what the router holds come to its end.
 func (p *Router) drain() {
-	p.members.SetSelf(zinniaquayv1.Member_leaving)
+	p.leave()
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.GetDrainTimeout().AsDuration())
 	defer cancel()
 	if err := p.router.Drain(ctx); err != nil {
@@ -142,5 +148,6 @@
 func (p *Router) status() *zinniaquayv1.StatusResponse {
 	s := p.router.Status()
 	s.Member = p.members.Self()
+	s.PlatformAgeMs = p.platformAge()
 	return s
 }
--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"path"
 	"strconv"
 	"strings"
@@ -18,6 +19,7 @@
 	"github.com/zinniaquay/zinniaquay/internal/errkind"
 	"github.com/zinniaquay/zinniaquay/internal/move"
 	"github.com/zinniaquay/zinniaquay/internal/telemetry"
+	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
 const (
@@ -42,7 +44,7 @@
 	mux.RedirectTrailingSlash = false
 	mux.RedirectFixedPath = false
 	mux.POST(chatPath, r.withID(r.chat))
-	for _, method := range []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"} {
+	for _, method := range []string{"GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"} {
 		mux.Handle(method, servicesPath, r.withID(r.plain))
 	}
 	mux.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
@@ -79,6 +81,7 @@
 			return
 		}
 		r.refusals.add(errkind.Of(err))
+		r.opts.Events.Record(timeline.RequestRefused, id, err.Error())
 		r.opts.Log.Info("request refused", telemetry.KeyRequest, id, "kind", errkind.Of(err), "err", err.Error())
 		if errors.Is(err, errAnswerBegun) {
 			// An answer that was begun must not look complete.
@@ -136,13 +139,7 @@
 	if err != nil {
 		return err
 	}
-	// The path that is judged is the path that is sent, or a target could read
-	// a request as one that must not be repeated where the router did not.
-	clean := path.Clean(params.ByName("path"))
-	target := clean
-	if req.URL.RawQuery != "" {
-		target += "?" + req.URL.RawQuery
-	}
+	clean, target := targetPath(params.ByName("path"), req.URL.RawQuery)
 	return r.serve(w, req, snap, r.newRequest(req, id, account, name, service, &zinniaquayv1.WorkRequest{
 		Method:        req.Method,
 		Path:          target,
@@ -152,6 +149,14 @@
 	}))
 }
 
+// targetPath returns the path by which a request is judged, and the path and
+// query that are sent. They are one path, escaped again, or a target could read
+// a request as one that must not be repeated where the router did not.
+func targetPath(decoded, rawQuery string) (clean, sent string) {
+	clean = path.Clean("/" + decoded)
+	return clean, (&url.URL{Path: clean, RawQuery: rawQuery}).RequestURI()
+}
+
 // units returns what a request to a plain service is charged.
 func units(s *zinniaquayv1.Service) float64 {
 	if u := s.GetUnitsPerRequest(); u > 0 {
@@ -160,10 +165,14 @@
 	return defaultUnits
 }
 
-// notRepeatable reports whether a service's request must not be repeated.
+// notRepeatable reports whether a service's request must not be repeated. Where
+// a pattern and a path differ only in how they are written, it errs on the side
+// of not repeating.
 func notRepeatable(s *zinniaquayv1.Service, method, cleanPath string) bool {
 	for _, p := range s.GetNotRepeatable() {
-		if (p.GetMethod() == "" || p.GetMethod() == method) && strings.HasPrefix(cleanPath, p.GetPathPrefix()) {
+		sameMethod := p.GetMethod() == "" || strings.EqualFold(p.GetMethod(), method)
+		prefix := path.Clean("/" + p.GetPathPrefix())
+		if sameMethod && len(cleanPath) >= len(prefix) && strings.EqualFold(cleanPath[:len(prefix)], prefix) {
 			return true
 		}
 	}
@@ -216,6 +225,7 @@
 	}
 	// A hint that is no number is no hint.
 	hint, _ := strconv.ParseUint(req.Header.Get(costHintHeader), 10, 32)
+	now := time.Now()
 	return &request{
 		id:       id,
 		account:  account,
@@ -224,7 +234,9 @@
 		route:    move.RouteOf(work.GetMethod(), work.GetPath()),
 		work:     work,
 		hint:     hint,
-		deadline: time.Now().Add(timeout),
+		arrived:  now,
+		deadline: now.Add(timeout),
+		evicted:  make(chan struct{}),
 		granted:  make(chan holder, 1),
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -21,6 +21,7 @@
 	"github.com/zinniaquay/zinniaquay/internal/move"
 	"github.com/zinniaquay/zinniaquay/internal/placement"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
+	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
 const (
@@ -58,6 +59,8 @@
 	Routers func() []string
 	// BufferBytes bounds the answers that are kept for routers. Default 64 MiB.
 	BufferBytes int64
+	// Events takes the events of the time line; nil for none.
+	Events *timeline.Recorder
 	// Knowledge is what the process knows of versions. Without it no evidence is
 	// gathered and no version counts as bad.
 	Knowledge *move.Knowledge
