Replace a dead holder of evidence, move while the platform is down half the time

Cause: reporters must find the next router, and a share must not wait for the platform. Also forget moves that are not declared any more, and look only at waiting requests of versions that traffic moves to.

--- a/internal/evidence/fleet_test.go
+++ b/internal/evidence/fleet_test.go
@@ -108,6 +108,8 @@
 	knows    map[string]*move.Knowledge
 	engines  map[string]*target.Engine
 	members  []evidence.Member
+	// callers are the routers that callers ask; all of them by default.
+	callers []evidence.Member
 
 	mu   sync.Mutex
 	hits map[string][]time.Time
@@ -117,7 +119,9 @@
 	deaf bool
 
 	sidecars map[string]*sidecar.Sidecar
-	targets  []string
+	// stops ends what runs under a name.
+	stops   map[string][]func()
+	targets []string
 }
 
 // declared is the move of a fleet's configuration.
@@ -135,7 +139,7 @@
 	f := &fleet{
 		t: t, net: &memory{listeners: map[string]*listener{}}, platform: platform.NewMemory(),
 		stores: map[string]*configstore.Store{}, routers: map[string]*router.Router{}, holders: map[string]*evidence.Holder{},
-		knows: map[string]*move.Knowledge{}, engines: map[string]*target.Engine{}, hits: map[string][]time.Time{}, sidecars: map[string]*sidecar.Sidecar{},
+		knows: map[string]*move.Knowledge{}, engines: map[string]*target.Engine{}, hits: map[string][]time.Time{}, sidecars: map[string]*sidecar.Sidecar{}, stops: map[string][]func(){},
 		doc: &zinniaquayv1.Configuration{
 			Number:   1,
 			Accounts: map[string]*zinniaquayv1.ClientAccount{"village": {KeySha256: []string{hex.EncodeToString(digest[:])}}},
@@ -199,6 +203,7 @@
 	s := rpc.NewServer(h)
 	l := f.net.listen(addr)
 	go func() { _ = s.Serve(l) }()
+	f.stops[addr] = []func(){func() { _ = s.Close() }}
 	f.t.Cleanup(func() { _ = s.Close() })
 }
 
@@ -224,8 +229,8 @@
 		Routers: f.live, Log: logr.Discard(), Metrics: metrics.NewRegistry(),
 	})
 	f.routers[m.Name], f.holders[m.Name] = r, h
-	f.run(r.Run)
-	f.run(h.Run)
+	f.run(m.Name, r.Run)
+	f.run(m.Name, h.Run)
 	mux := http.NewServeMux()
 	mux.Handle(zinniaquayv1connect.NewRouterServiceHandler(r, connect.WithInterceptors(node.Interceptor())))
 	mux.Handle(zinniaquayv1connect.NewEvidenceServiceHandler(h, connect.WithInterceptors(node.Interceptor())))
@@ -253,24 +258,37 @@
 		},
 	})
 	f.sidecars[name] = s
-	f.run(s.Run)
+	f.run(name, s.Run)
 	mux := http.NewServeMux()
 	mux.Handle(zinniaquayv1connect.NewSidecarServiceHandler(s, connect.WithInterceptors(node.Interceptor())))
 	f.serve(name+":1", mux)
 }
 
 // run runs a process's duties until the test ends.
-func (f *fleet) run(duties func(context.Context)) {
+func (f *fleet) run(name string, duties func(context.Context)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		duties(ctx)
 	}()
-	f.t.Cleanup(func() {
+	stop := func() {
 		cancel()
 		<-done
-	})
+	}
+	f.stops[name] = append(f.stops[name], stop)
+	f.t.Cleanup(stop)
+}
+
+// kill ends a router without notice.
+func (f *fleet) kill(name string) {
+	for _, stop := range f.stops[name] {
+		stop()
+	}
+	f.stops[name+":1"][0]()
+	f.net.mu.Lock()
+	defer f.net.mu.Unlock()
+	delete(f.net.listeners, name+":1")
 }
 
 // ask sends one request to a router and returns the status.
@@ -308,8 +326,12 @@
 	var group sync.WaitGroup
 	statuses := map[int]int{}
 	i := 0
+	routers := f.callers
+	if routers == nil {
+		routers = f.members
+	}
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(every) {
-		name := f.members[i%len(f.members)].Name
+		name := routers[i%len(routers)].Name
 		i++
 		group.Go(func() {
 			status := f.ask(name)
--- a/internal/evidence/holder.go
+++ b/internal/evidence/holder.go
@@ -16,6 +16,7 @@
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
 	"github.com/zinniaquay/zinniaquay/internal/move"
 	"github.com/zinniaquay/zinniaquay/internal/move/keeper"
+	"github.com/zinniaquay/zinniaquay/internal/placement"
 )
 
 const (
@@ -107,8 +108,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	declared := make(map[uint64]bool)
-	for name, m := range snap.Doc.GetMoves() {
-		d := move.NewDeclaration(name, m)
+	moves := placement.Declarations(snap)
+	h.opts.Knowledge.Keep(moves)
+	for _, d := range moves {
 		declared[d.Digest()] = true
 		known, ok := h.moves[d.Digest()]
 		if !ok {
--- a/internal/evidence/path_test.go
+++ b/internal/evidence/path_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/zinniaquay/zinniaquay/internal/evidence"
 	"github.com/zinniaquay/zinniaquay/internal/move"
 	"github.com/zinniaquay/zinniaquay/internal/platform"
 	"github.com/zinniaquay/zinniaquay/internal/standin/target"
@@ -143,3 +145,43 @@
 		})
 	}
 }
+
+func TestHolderThatDiesIsReplaced(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 3, 2, 2, declared(time.Hour, 0.2))
+		f.start(nil)
+		f.traffic(50*time.Millisecond, 10*time.Second)
+		holder := evidence.Ranked(move.NewDeclaration("m", f.doc.Moves["m"]).Digest(), f.members)[0]
+		f.kill(holder.Name)
+		left := slices.DeleteFunc(slices.Clone(f.members), func(m evidence.Member) bool { return m == holder })
+		f.engines["new0"].SetFaults(target.Faults{FailShare: 1})
+		f.engines["new1"].SetFaults(target.Faults{FailShare: 1})
+		f.callers = left
+		f.hits = map[string][]time.Time{}
+		f.traffic(50*time.Millisecond, 40*time.Second)
+		is.Equal(f.started("new", f.shown(25).Add(noMoreWorkWithin)), 0)
+		is.Equal(f.state(), string(move.TakenBack))
+	})
+}
+
+func TestGoodVersionMovesInTimeWhileThePlatformIsDownForHalfOfIt(t *testing.T) {
+	for _, downFirst := range []bool{true, false} {
+		bubble(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 1, 2, 2, declared(2*time.Minute, 0.2))
+			f.start(nil)
+			time.Sleep(time.Second) // versions are known to be loaded
+			halves := []bool{downFirst, !downFirst}
+			for _, down := range halves {
+				f.platform.SetFaults(platform.Faults{Down: down})
+				f.traffic(100*time.Millisecond, 59*time.Second)
+			}
+			deadline := time.Now()
+			f.platform.SetFaults(platform.Faults{})
+			f.traffic(100*time.Millisecond, 10*time.Second)
+			is.Equal(f.started("old", deadline), 0)
+			is.Equal(f.state(), string(move.Done))
+		})
+	}
+}
--- a/internal/evidence/reporter.go
+++ b/internal/evidence/reporter.go
@@ -64,6 +64,7 @@
 	holder   uint64
 	reported time.Time
 	avoid    map[string]time.Time
+	kept     uint64
 }
 
 // NewReporter returns a reporter that has counted nothing.
@@ -127,6 +128,7 @@
 
 // reportDue sends a report if one is due.
 func (r *Reporter) reportDue(ctx context.Context) {
+	r.forget()
 	d, version, ok := r.declaration()
 	if !ok {
 		return
@@ -148,6 +150,16 @@
 	r.send(ctx, holder, r.request(d, version))
 }
 
+// forget drops what is known of moves that are not declared any more.
+func (r *Reporter) forget() {
+	snap := r.opts.Store.Current()
+	if snap == nil || snap.Number == r.kept {
+		return
+	}
+	r.kept = snap.Number
+	r.opts.Knowledge.Keep(placement.Declarations(snap))
+}
+
 // reporters returns how many targets report on a move.
 func (r *Reporter) reporters(d move.Declaration) int {
 	snap := r.opts.Store.Current()
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -19,6 +19,15 @@
 	return move.Declaration{}, false
 }
 
+// Declarations returns all moves that are declared.
+func Declarations(snap *configstore.Snapshot) []move.Declaration {
+	var declared []move.Declaration
+	for name, m := range snap.Doc.GetMoves() {
+		declared = append(declared, move.NewDeclaration(name, m))
+	}
+	return declared
+}
+
 // Bad reports whether a version of a service is known to be bad.
 func Bad(snap *configstore.Snapshot, k *move.Knowledge, service, version string) bool {
 	d, ok := MoveOf(snap, service)
@@ -79,8 +88,8 @@
 // Keep forgets the spreading of moves that are not declared any more.
 func (c *Chooser) Keep(snap *configstore.Snapshot) {
 	declared := make(map[uint64]bool)
-	for name, m := range snap.Doc.GetMoves() {
-		declared[move.NewDeclaration(name, m).Digest()] = true
+	for _, d := range Declarations(snap) {
+		declared[d.Digest()] = true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/router/versions.go
+++ b/internal/router/versions.go
@@ -6,6 +6,7 @@
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
+	versions "github.com/zinniaquay/zinniaquay/internal/placement"
 )
 
 const (
@@ -86,8 +87,9 @@
 	if snap == nil {
 		return
 	}
+	r.opts.Versions.Keep(snap)
 	moved := false
-	for _, req := range r.queues.byID {
+	for _, req := range r.movable(snap) {
 		other, ok := r.opts.Versions.Other(snap, req.service, req.version, req.route, r.unclaimed(req, now))
 		if !ok {
 			continue
@@ -103,6 +105,22 @@
 	}
 }
 
+// movable returns the waiting requests of versions that traffic moves to. The
+// caller holds the lock.
+func (r *Router) movable(snap *configstore.Snapshot) []*request {
+	newVersions := make(map[serviceVersion]bool)
+	for _, d := range versions.Declarations(snap) {
+		newVersions[serviceVersion{d.Service, d.To}] = true
+	}
+	var found []*request
+	for k, queue := range r.queues.byKey {
+		if newVersions[serviceVersion{k.service, k.version}] {
+			found = append(found, queue...)
+		}
+	}
+	return found
+}
+
 // unclaimed reports whether a request has waited long without any claim of its
 // version. The caller holds the lock.
 func (r *Router) unclaimed(req *request, now time.Time) bool {
