Ask the target for a sign of life beside the claim, and only above the cold bound

Cause: each start asked the target for its load after its claim was granted, one more round trip before the first byte. Change: the question goes out beside the claim, and only if more requests are to run than a cold target bears; below that a target that has turned cold bears the start anyway.

--- a/internal/capacity/gate.go
+++ b/internal/capacity/gate.go
@@ -125,6 +125,9 @@
 // asks just before a request that it has counted starts.
 func (g *Gate) Over(now time.Time) bool { return g.running > g.allowed(now) }
 
+// AboveCold reports whether more requests run than a cold target bears.
+func (g *Gate) AboveCold() bool { return g.running > g.bounds.Cold }
+
 // allowed returns the most requests that may run now.
 func (g *Gate) allowed(now time.Time) int {
 	if g.refusing || now.Before(g.awaitUntil) {
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/capacity"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
@@ -71,13 +73,14 @@
 // claim asks the router for a request and runs it if it is handed out. newest
 // is the number of the newest reservation when the claim began.
 func (s *Sidecar) claim(ctx context.Context, j *job, res *zinniaquayv1.Reservation, req *zinniaquayv1.ClaimRequest, newest uint64) {
+	asked := s.askAboveCold(ctx)
 	answer, err := s.opts.Pool.Get(res.GetRouterAddr()).Router.Claim(ctx, req)
 	s.renew(res, answer, err, newest)
+	asked.Wait()
 	if err != nil || !answer.GetGranted() {
 		s.abandon(j, "claim was not granted")
 		return
 	}
-	s.askTarget(ctx)
 	run, ok := s.begin(j, answer.GetRequest())
 	if !ok {
 		s.abandon(j, "claim was granted too late")
@@ -86,6 +89,19 @@
 	s.run(run, j, answer.GetRequest())
 }
 
+// askAboveCold asks the target for a sign of life, beside the claim, if more
+// requests are to run than a cold target bears. A target turns cold without
+// warning, so a sign from before the claim is not enough.
+func (s *Sidecar) askAboveCold(ctx context.Context) *conc.WaitGroup {
+	var asked conc.WaitGroup
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gate.AboveCold() {
+		asked.Go(func() { s.askTarget(ctx) })
+	}
+	return &asked
+}
+
 // renew takes the reservations that came with the answer to a claim. If the
 // router says that nothing of the account waits, what it had placed up to the
 // claim is gone.
