--- a/cmd/zinniaquay/check.go
+++ b/cmd/zinniaquay/check.go
@@ -3,23 +3,26 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 
 	"github.com/spf13/cobra"
 
+	"github.com/zinniaquay/zinniaquay/internal/configstore"
 	"github.com/zinniaquay/zinniaquay/internal/settings"
 )
 
 // newCheck returns the command that checks files without running anything.
 func newCheck() *cobra.Command {
-	var routers, sidecars []string
+	var routers, sidecars, configurations []string
 	cmd := &cobra.Command{
 		Use:   "check",
-		Short: "Check settings without running a process",
-		Long:  "Checks settings files and the secrets that they name. Every fault is printed with its file and line.",
-		Args:  cobra.NoArgs,
+		Short: "Check settings and a configuration without running a process",
+		Long: "Checks settings files and the secrets that they name, and configurations in JSON.\n" +
+			"Every fault is printed with its file and line, or with its file and field.",
+		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if len(routers)+len(sidecars) == 0 {
-				return usage(errors.New("nothing to check: give --router or --sidecar"))
+			if len(routers)+len(sidecars)+len(configurations) == 0 {
+				return usage(errors.New("nothing to check: give --router, --sidecar or --configuration"))
 			}
 			var faults []error
 			for _, path := range routers {
@@ -28,6 +31,9 @@
 			for _, path := range sidecars {
 				faults = append(faults, checkSidecar(path))
 			}
+			for _, path := range configurations {
+				faults = append(faults, checkConfiguration(path))
+			}
 			if err := errors.Join(faults...); err != nil {
 				return fmt.Errorf("faults found:\n%w", err)
 			}
@@ -37,9 +43,28 @@
 	}
 	cmd.Flags().StringArrayVar(&routers, "router", nil, "file with the settings of a router; may be repeated")
 	cmd.Flags().StringArrayVar(&sidecars, "sidecar", nil, "file with the settings of a sidecar; may be repeated")
+	cmd.Flags().StringArrayVar(&configurations, "configuration", nil, "file with a configuration in JSON; may be repeated")
 	return cmd
 }
 
+// checkConfiguration reports every fault of a configuration, as a patch of the
+// same content would be refused with.
+func checkConfiguration(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	_, found, err := configstore.FromJSON(data)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	var faults []error
+	for _, f := range found {
+		faults = append(faults, fmt.Errorf("%s: %s: %s", path, f.Field, f.Message))
+	}
+	return errors.Join(faults...)
+}
+
 func checkRouter(path string) error {
 	s, err := settings.LoadRouter(path)
 	if err != nil {
--- a/cmd/zinniaquay/client.go
+++ b/cmd/zinniaquay/client.go
@@ -3,15 +3,17 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"time"
 
 	"github.com/spf13/cobra"
 
-	"github.com/zinniaquay/zinniaquay/internal/errkind"
+	"github.com/zinniaquay/zinniaquay/internal/operator"
 	"github.com/zinniaquay/zinniaquay/internal/settings"
 )
 
@@ -120,13 +122,24 @@
 	return nil
 }
 
-// refusal returns the error that an answer describes.
+// notSent reports whether a call failed before anything left this machine.
+func notSent(err error) bool {
+	var failed *net.OpError
+	return errors.As(err, &failed) && failed.Op == "dial"
+}
+
+// refusal returns the error that an answer describes, with every fault that it
+// lists on a line of its own.
 func refusal(status int, body []byte) error {
-	var refused errkind.Body
+	var refused operator.Refusal
 	if err := json.Unmarshal(body, &refused); err != nil || refused.Error.Kind == "" {
 		return fmt.Errorf("router answered with status %d", status)
 	}
-	return fmt.Errorf("router refused: %s: %s", refused.Error.Kind, refused.Error.Message)
+	message := fmt.Sprintf("router refused: %s: %s", refused.Error.Kind, refused.Error.Message)
+	for _, fault := range refused.Error.Faults {
+		message += fmt.Sprintf("\n%s: %s", fault.Field, fault.Message)
+	}
+	return errors.New(message)
 }
 
 // write writes an outcome in the form that was asked for.
--- a/internal/configstore/editor.go
+++ b/internal/configstore/editor.go
@@ -177,7 +177,7 @@
 }
 
 func invalid(found []Fault) error {
-	return errkind.Wrap(errkind.Invalid, &InvalidError{Faults: found}, "the configuration would have %d faults", len(found))
+	return errkind.Wrap(errkind.Invalid, &InvalidError{Faults: found}, "faults in the patched configuration: %d", len(found))
 }
 
 // FaultsOf returns the faults that an error of the kind Invalid lists.
--- a/internal/operator/config_test.go
+++ b/internal/operator/config_test.go
@@ -50,6 +50,7 @@
 	}{
 		{"no number", `{}`, []string{"Content-Type", MergePatchType}, http.StatusPreconditionRequired, errkind.PreconditionRequired},
 		{"no media type", `{}`, []string{"If-Match", "1"}, http.StatusBadRequest, errkind.Malformed},
+		{"another media type", `{}`, []string{"If-Match", "1", "Content-Type", "application/json"}, http.StatusBadRequest, errkind.Malformed},
 		{"two numbers", `{}`, []string{"If-Match", "1", "If-Match", "2", "Content-Type", MergePatchType}, http.StatusBadRequest, errkind.Malformed},
 		{"any number", `{}`, []string{"If-Match", "*", "Content-Type", MergePatchType}, http.StatusBadRequest, errkind.Malformed},
 		{"half a quote", `{}`, []string{"If-Match", `"1`, "Content-Type", MergePatchType}, http.StatusBadRequest, errkind.Malformed},
