--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -10,6 +10,9 @@
 	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
+// ClaimTimeout is how long a router may take to answer a claim.
+const ClaimTimeout = 300 * time.Millisecond
+
 // dispatch claims waiting requests while the target has room, until the context
 // ends.
 func (s *Sidecar) dispatch(ctx context.Context) {
@@ -71,7 +74,7 @@
 // claim asks the router for a request and runs it if it is handed out. newest
 // is the number of the newest reservation when the claim began.
 func (s *Sidecar) claim(ctx context.Context, j *job, res *zinniaquayv1.Reservation, req *zinniaquayv1.ClaimRequest, newest uint64) {
-	answer, err := s.opts.Pool.Get(res.GetRouterAddr()).Router.Claim(ctx, req)
+	answer, err := s.ask(ctx, res.GetRouterAddr(), req)
 	s.renew(res, answer, err, newest)
 	if err != nil || !answer.GetGranted() {
 		s.abandon(j, "claim was not granted")
@@ -86,6 +89,20 @@
 	s.run(run, j, answer.GetRequest())
 }
 
+// ask sends a claim. While it is under way it holds a place of the target, so
+// that one whose connection has gone silent is given up soon and the connection
+// with it.
+func (s *Sidecar) ask(ctx context.Context, addr string, req *zinniaquayv1.ClaimRequest) (*zinniaquayv1.ClaimResponse, error) {
+	bounded, cancel := context.WithTimeout(ctx, ClaimTimeout)
+	defer cancel()
+	peer := s.opts.Pool.Get(addr)
+	answer, err := peer.Router.Claim(bounded, req)
+	if err != nil && bounded.Err() != nil && ctx.Err() == nil {
+		s.opts.Pool.Reset(peer)
+	}
+	return answer, err
+}
+
 // renew takes the reservations that came with the answer to a claim. If the
 // router says that nothing of the account waits, what it had placed up to the
 // claim is gone.
--- a/test/decisions_test.go
+++ b/test/decisions_test.go
@@ -36,6 +36,8 @@
 type modelFleet struct {
 	*fleet
 	client *http.Client
+	// pending follows requests until their answers begin, if it is not nil.
+	pending *pending
 
 	mu     sync.Mutex
 	tokens map[string]float64 // tokens of whole answers, by account
@@ -48,6 +50,7 @@
 	accounts []string
 	bounds   capacity.Bounds
 	engine   target.Options
+	latency  time.Duration // of a packet; 0 is that of a new network
 }
 
 // newModelFleet returns a fleet; later leaves out the sidecars of some targets.
@@ -58,6 +61,9 @@
 		routers: make([]*router.Router, o.routers), sidecars: make([]*sidecar.Sidecar, len(o.services)),
 	}}
 	f.client = &http.Client{Transport: &http.Transport{DialContext: f.net.dialer(callerHost), MaxIdleConnsPerHost: 1024}}
+	if o.latency > 0 {
+		f.net.latency = o.latency
+	}
 	for i := range o.routers {
 		f.links = append(f.links, platform.NewLink(f.kv))
 		f.startRouter(i)
@@ -160,7 +166,14 @@
 		return
 	}
 	req.Header.Set("Authorization", "Bearer "+account)
+	var n int
+	if f.pending != nil {
+		n = f.pending.begin()
+	}
 	res, err := f.client.Do(req)
+	if f.pending != nil && ctx.Err() == nil {
+		f.pending.end(n)
+	}
 	if err != nil {
 		return // the test is over, or a router was killed
 	}
