--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -78,6 +78,9 @@
 	s.renew(res, answer, err, newest)
 	if err != nil || !answer.GetGranted() {
 		s.abandon(j, "claim was not granted")
+		if err != nil {
+			s.sampleRouter(ctx, res.GetRouterAddr())
+		}
 		return
 	}
 	s.askTarget(ctx)
@@ -105,12 +108,14 @@
 
 // renew takes the reservations that came with the answer to a claim. If the
 // router says that nothing of the account waits, what it had placed up to the
-// claim is gone.
+// claim is gone. Without an answer nothing of the router's is claimed any more,
+// or each claim would hold a place of the target in vain.
 func (s *Sidecar) renew(claimed *zinniaquayv1.Reservation, answer *zinniaquayv1.ClaimResponse, err error, newest uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.waiting.claimed(claimed)
 	if err != nil {
+		s.waiting.dropRouter(claimed.GetRouterAddr(), newest)
 		return
 	}
 	if !answer.GetWaiting() {
--- a/internal/sidecar/reservations.go
+++ b/internal/sidecar/reservations.go
@@ -113,6 +113,13 @@
 	r.filter(account, func(h held) bool { return h.GetRouterAddr() != router || h.number > number })
 }
 
+// dropRouter removes the reservations from a router that arrived up to a number.
+func (r *reservations) dropRouter(router string, number uint64) {
+	for account := range r.byAccount {
+		r.drop(account, router, number)
+	}
+}
+
 // expire removes the reservations that have not been renewed.
 func (r *reservations) expire(now time.Time) {
 	for account := range r.byAccount {
--- a/internal/sidecar/sample.go
+++ b/internal/sidecar/sample.go
@@ -17,7 +17,7 @@
 	// sampleLast is how often it asks when it has long found nothing.
 	sampleLast = 3200 * time.Millisecond
 	// sampleWidth is how many routers it asks at once.
-	sampleWidth = 2
+	sampleWidth = 3
 	// sampleLimit is the most reservations that it asks each for.
 	sampleLimit = 16
 	// maxRouters bounds the routers that are remembered from reservations.
--- a/test/decisions_test.go
+++ b/test/decisions_test.go
@@ -53,8 +53,8 @@
 	latency  time.Duration // of a packet; 0 is that of a new network
 }
 
-// newModelFleet returns a fleet; later leaves out the sidecars of some targets.
-func newModelFleet(t *testing.T, o modelOptions, later ...int) *modelFleet {
+// newModelFleet returns a fleet.
+func newModelFleet(t *testing.T, o modelOptions) *modelFleet {
 	f := &modelFleet{tokens: make(map[string]float64), fleet: &fleet{
 		t: t, net: newNetwork(), kv: platform.NewMemory(), doc: modelDoc(o),
 		engines: make(map[int]*target.Engine), running: make(map[string]*process),
@@ -68,16 +68,10 @@
 		f.links = append(f.links, platform.NewLink(f.kv))
 		f.startRouter(i)
 	}
-	left := make(map[int]bool)
-	for _, i := range later {
-		left[i] = true
-	}
 	for i := range o.services {
 		f.engines[i] = target.NewEngine(o.engine)
 		f.process(targetHost(i)).serve(&http.Server{Handler: f.engines[i]}, f.net.listen(targetHost(i)+":80"))
-		if !left[i] {
-			f.startModelSidecar(i)
-		}
+		f.startModelSidecar(i)
 	}
 	return f
 }
--- a/test/idle_test.go
+++ b/test/idle_test.go
@@ -89,6 +89,7 @@
 		}
 		time.Sleep(lookEvery)
 	}
+	p.noRoom() // what still waits counts too
 }
 
 // hasRoom reports whether any engine that is up runs less than it may.
@@ -144,23 +145,25 @@
 	})
 }
 
-// All reservations are with busy targets when another target comes up: its
-// sidecar asks for work itself.
-func TestTargetThatComesUpTakesWhatWaits(t *testing.T) {
+// All reservations are with busy targets, but for those of a sidecar that has
+// lost its memory, which the router takes for told: it asks for work itself.
+// Fails when idle sidecars stop sampling routers.
+func TestSidecarWithoutMemoryTakesWhatWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newModelFleet(t, idleOptions, idleTargets-1)
+		const last = idleTargets - 1
+		f := newModelFleet(t, idleOptions)
 		var mu sync.Mutex
 		cameUp := false
 		up := func(i int) bool {
 			mu.Lock()
 			defer mu.Unlock()
-			return i != idleTargets-1 || cameUp
+			return i != last || cameUp
 		}
 		f.watched(5*time.Second, idleBound, up, func(ctx context.Context, group *sync.WaitGroup) {
 			f.callers(ctx, group, 30, 0, "large", "planner", 400)
 			group.Go(func() {
 				time.Sleep(time.Second)
-				f.startModelSidecar(idleTargets - 1)
+				f.restart(sidecarHost(last), func() { f.startModelSidecar(last) })
 				mu.Lock()
 				defer mu.Unlock()
 				cameUp = true
@@ -200,3 +203,21 @@
 		})
 	})
 }
+
+// A claim is lost and no other target may serve the request: the same sidecar
+// claims it again.
+func TestLostClaimIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := idleOptions
+		o.services = []string{"planner"}
+		f := newModelFleet(t, o)
+		f.watched(5*time.Second, idleBound+lostTime+recoverTime, always, func(ctx context.Context, group *sync.WaitGroup) {
+			group.Go(func() {
+				for ctx.Err() == nil {
+					f.ask(ctx, 0, "village", "planner", fairTokens)
+					f.net.silence(sidecarHost(0), routerHost(0))
+				}
+			})
+		})
+	})
+}
