--- a/internal/process/router.go
+++ b/internal/process/router.go
@@ -90,7 +90,7 @@
 	serve(&duties, peers, p.listener, failed)
 	duties.Go(func() { p.router.Run(running) })
 	duties.Go(func() { p.recordConfigurations(running) })
-	duties.Go(func() { p.spread.Run(running) })
+	duties.Go(func() { p.peers.Run(running) })
 	p.events.Record(timeline.ProcessStarted, "", p.node.Addr)
 	duties.Go(func() { p.evidence.Run(running) })
 	select {
@@ -109,7 +109,8 @@
 
 // drain lets what the router holds come to its end.
 func (p *Router) drain() {
-	p.leave()
+	p.announce(zinniaquayv1.Member_leaving)
+	defer p.announce(zinniaquayv1.Member_gone)
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.GetDrainTimeout().AsDuration())
 	defer cancel()
 	if err := p.router.Drain(ctx); err != nil {
--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -225,6 +225,7 @@
 	}
 	// A hint that is no number is no hint.
 	hint, _ := strconv.ParseUint(req.Header.Get(costHintHeader), 10, 32)
+	now := time.Now()
 	return &request{
 		id:       id,
 		account:  account,
@@ -233,7 +234,8 @@
 		route:    move.RouteOf(work.GetMethod(), work.GetPath()),
 		work:     work,
 		hint:     hint,
-		deadline: time.Now().Add(timeout),
+		deadline: now.Add(timeout),
+		evicted:  make(chan struct{}),
 		granted:  make(chan holder, 1),
 	}
 }
--- a/internal/router/placer.go
+++ b/internal/router/placer.go
@@ -129,7 +129,7 @@
 // holds some already, none if the queue is empty. The caller holds the router's
 // lock.
 func (p *placer) reserve(k queueKey, target string, held int, now time.Time) []*zinniaquayv1.Reservation {
-	heads := p.router.queues.heads(k, headWindow)
+	heads := p.router.queues.heads(k, headWindow, now)
 	if len(heads) == 0 {
 		delete(p.book.byQueue, k)
 		return nil
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -4,14 +4,21 @@
 	"context"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/capacity"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
 	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
-// ClaimTimeout is how long a router may take to answer a claim.
-const ClaimTimeout = 300 * time.Millisecond
+const (
+	// ClaimTimeout is how long a router may take to answer a claim.
+	ClaimTimeout = 300 * time.Millisecond
+	// askFresh is how long the target's answer from beside a claim counts. After
+	// a slower claim it is asked again.
+	askFresh = 10 * time.Millisecond
+)
 
 // dispatch claims waiting requests while the target has room, until the context
 // ends.
@@ -74,8 +81,11 @@
 // claim asks the router for a request and runs it if it is handed out. newest
 // is the number of the newest reservation when the claim began.
 func (s *Sidecar) claim(ctx context.Context, j *job, res *zinniaquayv1.Reservation, req *zinniaquayv1.ClaimRequest, newest uint64) {
+	begun := time.Now()
+	asked := s.askAboveCold(ctx)
 	answer, err := s.ask(ctx, res.GetRouterAddr(), req)
 	s.renew(res, answer, err, newest)
+	asked.Wait()
 	if err != nil || !answer.GetGranted() {
 		s.abandon(j, "claim was not granted")
 		if err != nil {
@@ -83,7 +93,9 @@
 		}
 		return
 	}
-	s.askTarget(ctx)
+	if time.Since(begun) > askFresh {
+		s.askAboveCold(ctx).Wait()
+	}
 	run, ok := s.begin(j, answer.GetRequest())
 	if !ok {
 		s.abandon(j, "claim was granted too late")
@@ -106,6 +118,19 @@
 	return answer, err
 }
 
+// askAboveCold asks the target for a sign of life, beside the claim, if more
+// requests are to run than a cold target bears. A target turns cold without
+// warning, so a sign from before the claim is not enough.
+func (s *Sidecar) askAboveCold(ctx context.Context) *conc.WaitGroup {
+	var asked conc.WaitGroup
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gate.AboveCold() {
+		asked.Go(func() { s.askTarget(ctx) })
+	}
+	return &asked
+}
+
 // renew takes the reservations that came with the answer to a claim. If the
 // router says that nothing of the account waits, what it had placed up to the
 // claim is gone. Without an answer nothing of the router's is claimed any more,
