--- a/internal/ledger/duty.go
+++ b/internal/ledger/duty.go
@@ -48,8 +48,8 @@
 	Book Book
 	// Call sends a report.
 	Call Call
-	// Metrics takes the duty's metrics: ledger.reports, ledger.failed,
-	// ledger.ring_full, ledger.unheld and ledger.held.
+	// Metrics takes the duty's metrics: ledger_reports_total, ledger_failed_total,
+	// ledger_ring_full_total, ledger_unheld_accounts and ledger_held_accounts.
 	Metrics metrics.Registry
 }
 
@@ -98,15 +98,15 @@
 	reporter.SetMembers(now, d.Members())
 	d.Book.Collect(func(local Local) { reporter.Note(now, local) })
 	if room == 0 {
-		metrics.GetOrRegisterCounter("ledger.ring_full", d.Metrics).Inc(1)
+		metrics.GetOrRegisterCounter("ledger_ring_full_total", d.Metrics).Inc(1)
 	}
 	due := reporter.Due(now, room)
 	for _, report := range due {
 		reports <- report // there is room: the limit saw to it
 	}
 	d.Holder.Forget(now)
-	metrics.GetOrRegisterGauge("ledger.unheld", d.Metrics).Update(int64(reporter.Unheld()))
-	metrics.GetOrRegisterGauge("ledger.held", d.Metrics).Update(int64(d.Holder.Accounts()))
+	metrics.GetOrRegisterGauge("ledger_unheld_accounts", d.Metrics).Update(int64(reporter.Unheld()))
+	metrics.GetOrRegisterGauge("ledger_held_accounts", d.Metrics).Update(int64(d.Holder.Accounts()))
 	return len(due)
 }
 
@@ -114,11 +114,11 @@
 func (d *Duty) settle(reporter *Reporter, a answer) {
 	now := time.Now()
 	if a.resp == nil {
-		metrics.GetOrRegisterCounter("ledger.failed", d.Metrics).Inc(1)
+		metrics.GetOrRegisterCounter("ledger_failed_total", d.Metrics).Inc(1)
 		reporter.Failed(now, a.report)
 		return
 	}
-	metrics.GetOrRegisterCounter("ledger.reports", d.Metrics).Inc(1)
+	metrics.GetOrRegisterCounter("ledger_reports_total", d.Metrics).Inc(1)
 	d.Book.Merge(reporter.Answered(now, a.report, a.resp))
 }
 
@@ -138,7 +138,7 @@
 	defer cancel()
 	resp, err := d.Call(ctx, report.Holder.Addr, report.Request)
 	if err != nil {
-		return nil // counted as ledger.failed; the next holder is asked
+		return nil // counted as ledger_failed_total; the next holder is asked
 	}
 	return resp
 }
--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -4,11 +4,13 @@
 	"context"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/capacity"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
+	"github.com/zinniaquay/zinniaquay/internal/telemetry"
 	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
@@ -84,6 +86,7 @@
 	begun := time.Now()
 	asked := s.askAboveCold(ctx)
 	answer, err := s.ask(ctx, res.GetRouterAddr(), req)
+	s.countClaim(answer.GetGranted(), err)
 	s.renew(res, answer, err, newest)
 	asked.Wait()
 	if err != nil || !answer.GetGranted() {
@@ -104,6 +107,18 @@
 	s.run(run, j, answer.GetRequest())
 }
 
+// countClaim counts a claim by what became of it.
+func (s *Sidecar) countClaim(granted bool, err error) {
+	result := "gone"
+	switch {
+	case err != nil:
+		result = "lost"
+	case granted:
+		result = "granted"
+	}
+	metrics.GetOrRegisterCounter(telemetry.Name("claims_total", "result", result), s.opts.Metrics).Inc(1)
+}
+
 // ask sends a claim. While it is under way it holds a place of the target, so
 // that one whose connection has gone silent is given up soon and the connection
 // with it.
--- a/test/cold_test.go
+++ b/test/cold_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/zinniaquay/zinniaquay/internal/capacity"
+	"github.com/zinniaquay/zinniaquay/internal/sidecar"
 	"github.com/zinniaquay/zinniaquay/internal/standin/target"
 )
 
@@ -108,3 +109,25 @@
 		checkNeverOver(t, f)
 	})
 }
+
+// The target turns cold while claims are under way to routers that are slow to
+// answer: the sign of life from before their answers is too old.
+func TestColdTurnDuringSlowClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newModelFleet(t, coldOptions)
+		f.runCallers(6*coldBounds.RampTime(coldRequest), func(ctx context.Context, group *sync.WaitGroup) {
+			f.push(ctx, group)
+			group.Go(func() {
+				for range 4 {
+					time.Sleep(coldBounds.RampTime(coldRequest))
+					for i := range f.routers {
+						f.net.hold(routerHost(i), sidecar.ClaimTimeout*2/3)
+					}
+					time.Sleep(sidecar.ClaimTimeout / 2)
+					f.engines[0].TurnCold()
+				}
+			})
+		})
+		checkNeverOver(t, f)
+	})
+}
