--- /dev/null
+++ b/test/processfleet_test.go
@@ -0,0 +1,391 @@
+package test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/zinniaquay/zinniaquay/internal/configstore"
+	"github.com/zinniaquay/zinniaquay/internal/platform"
+	"github.com/zinniaquay/zinniaquay/internal/standin/target"
+)
+
+// pollLimit is how long a test waits for something that must happen.
+const pollLimit = 30 * time.Second
+
+// buildBinary builds the one binary for all tests with real processes.
+var buildBinary = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "zinniaquay-test")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "zinniaquay")
+	out, err := exec.Command("go", "build", "-o", path, "../cmd/zinniaquay").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build: %w: %s", err, out)
+	}
+	return path, nil
+})
+
+// processFleet is routers, sidecars, targets and the platform as real processes
+// on loopback. Relays stand between routers and sidecars and between sidecars
+// and targets. Targets are numbered as in fleet.
+type processFleet struct {
+	t           *testing.T
+	dir, binary string
+	platform    string
+	routers     []*routerProcess
+	sidecars    []*sidecarProcess
+	targets     []string
+}
+
+// routerProcess is a router with its addresses.
+type routerProcess struct {
+	*child
+	name, peer, callers string
+}
+
+// sidecarProcess is a sidecar with the relays to it and to its target.
+type sidecarProcess struct {
+	*child
+	name, peer            string
+	fromRouters, toTarget *relay
+}
+
+// freeAddr returns an address on loopback that nothing listens at.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func newProcessFleet(t *testing.T, routers, targets int, perToken time.Duration) *processFleet {
+	t.Helper()
+	binary, err := buildBinary()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &processFleet{t: t, dir: t.TempDir(), binary: binary, platform: freeAddr(t)}
+	f.write("fleet-token", "a-token-of-the-fleet")
+	f.write("operator-token", "a-token-of-operators")
+	f.start("standin", "platform", "--addr", f.platform)
+	doc := newDoc(fleetOptions{targets: targets, maxRunning: 8})
+	for i := range targets {
+		s := f.addSidecar(i, perToken)
+		doc.Targets[fmt.Sprintf("t%d", i)].SidecarAddr = s.fromRouters.addr()
+	}
+	doc.Number = 0
+	f.configure(func() ([]byte, error) { return configstore.ToJSON(doc) })
+	for i := range routers {
+		r := &routerProcess{name: fmt.Sprintf("router-%d", i), peer: freeAddr(t), callers: freeAddr(t)}
+		f.routers = append(f.routers, r)
+		f.startRouter(i)
+	}
+	f.waitReady()
+	return f
+}
+
+// configure puts the first configuration in the platform.
+func (f *processFleet) configure(doc func() ([]byte, error)) {
+	f.t.Helper()
+	patch, err := doc()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	editor := configstore.NewEditor(platform.NewRemote(http.DefaultClient, "http://"+f.platform), configstore.NewStore())
+	f.eventually("the platform takes the configuration", func() bool {
+		_, err := editor.Patch(f.t.Context(), 0, patch)
+		return err == nil
+	})
+}
+
+// addSidecar starts a target, its sidecar and the relays.
+func (f *processFleet) addSidecar(i int, perToken time.Duration) *sidecarProcess {
+	addr := freeAddr(f.t)
+	f.targets = append(f.targets, addr)
+	f.start("standin", "target", "--addr", addr, fmt.Sprintf("--plain=%t", i%2 == 0),
+		"--per-token", perToken.String(), "--first-token", "0s", "--slowdown", "0", "--cold-running", "0")
+	s := &sidecarProcess{name: fmt.Sprintf("sidecar-%d", i), peer: freeAddr(f.t), toTarget: newRelay(f.t, addr)}
+	s.fromRouters = newRelay(f.t, s.peer)
+	f.sidecars = append(f.sidecars, s)
+	f.startSidecar(i)
+	return s
+}
+
+func (f *processFleet) write(name, text string) string {
+	f.t.Helper()
+	path := filepath.Join(f.dir, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return path
+}
+
+func (f *processFleet) process(name, peer string) string {
+	return fmt.Sprintf("process:\n  name: %s\n  peer_addr: %s\n  zone: a\n  fleet_token_file: %s\n  platform_addr: %s\n",
+		name, peer, filepath.Join(f.dir, "fleet-token"), f.platform)
+}
+
+func (f *processFleet) startRouter(i int) {
+	r := f.routers[i]
+	settings := f.process(r.name, r.peer) + fmt.Sprintf("caller_addr: %s\noperator_addr: %s\noperator_token_file: %s\n",
+		r.callers, freeAddr(f.t), filepath.Join(f.dir, "operator-token"))
+	r.child = f.start("router", "--settings", f.write(r.name+".yaml", settings))
+}
+
+func (f *processFleet) startSidecar(i int) {
+	s := f.sidecars[i]
+	settings := f.process(s.name, s.peer) + fmt.Sprintf("target: t%d\ntarget_url: http://%s\n", i, s.toTarget.addr())
+	s.child = f.start("sidecar", "--settings", f.write(s.name+".yaml", settings))
+}
+
+// waitReady waits until each service answers through each router.
+func (f *processFleet) waitReady() {
+	f.t.Helper()
+	for i := range f.routers {
+		f.eventually("router answers", func() bool {
+			a := f.call(f.t.Context(), i, http.MethodGet, stockPath, "", "")
+			return a.err == nil && a.status == http.StatusOK
+		})
+		if len(f.sidecars) > 1 {
+			f.eventually("model answers", func() bool {
+				a := f.call(f.t.Context(), i, http.MethodPost, chatPath, "", bodyOf(chat("ready", 1, true)))
+				return a.err == nil && a.status == http.StatusOK
+			})
+		}
+	}
+}
+
+// eventually polls until a condition holds.
+func (f *processFleet) eventually(what string, holds func() bool) {
+	f.t.Helper()
+	for until := time.Now().Add(pollLimit); !holds(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(until) {
+			f.t.Fatalf("not within %v: %s", pollLimit, what)
+		}
+	}
+}
+
+// call sends one request to a router, on a connection of its own.
+func (f *processFleet) call(ctx context.Context, to int, method, path, key, body string) answer {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+f.routers[to].callers+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+accountKey)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = res.Body.Close() }()
+	return readAnswer(res)
+}
+
+// ledger returns what the booking targets ran.
+func (f *processFleet) ledger() target.Ledger {
+	f.t.Helper()
+	sum := target.Ledger{ByRequestID: make(map[string]int), ByKey: make(map[string]int)}
+	for i := 0; i < len(f.targets); i += 2 {
+		res, err := http.Get("http://" + f.targets[i] + "/ledger")
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		var one target.Ledger
+		err = json.NewDecoder(res.Body).Decode(&one)
+		_ = res.Body.Close()
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		for id, n := range one.ByRequestID {
+			sum.ByRequestID[id] += n
+		}
+		for key, n := range one.ByKey {
+			sum.ByKey[key] += n
+		}
+	}
+	return sum
+}
+
+// child is a process that a test started.
+type child struct {
+	cmd *exec.Cmd
+	log *bytes.Buffer
+	// ended is closed when the process is gone, after which err is set.
+	ended chan struct{}
+	err   error
+}
+
+func (f *processFleet) start(args ...string) *child {
+	f.t.Helper()
+	c := &child{cmd: exec.Command(f.binary, args...), log: &bytes.Buffer{}, ended: make(chan struct{})}
+	c.cmd.Stdout, c.cmd.Stderr = c.log, c.log
+	if err := c.cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	go func() {
+		c.err = c.cmd.Wait()
+		close(c.ended)
+	}()
+	f.t.Cleanup(func() {
+		c.kill()
+		if f.t.Failed() {
+			f.t.Logf("%v:\n%s", args, tail(c.log.String()))
+		}
+	})
+	return c
+}
+
+// tail returns the end of a log.
+func tail(log string) string {
+	const most = 2000
+	return log[max(0, len(log)-most):]
+}
+
+// kill ends the process at once and waits until it is gone.
+func (c *child) kill() {
+	// One that is gone already can't be signalled.
+	_ = c.cmd.Process.Signal(syscall.SIGCONT)
+	_ = c.cmd.Process.Kill()
+	<-c.ended
+}
+
+// signal sends a signal to the process.
+func (c *child) signal(s syscall.Signal) { _ = c.cmd.Process.Signal(s) }
+
+// freeze stops the process and wakes it after a time.
+func (c *child) freeze(d time.Duration) {
+	c.signal(syscall.SIGSTOP)
+	time.AfterFunc(d, func() { c.signal(syscall.SIGCONT) })
+}
+
+// relay passes connections on to an address. It can swallow all that the present
+// ones carry, for good, while new ones work.
+type relay struct {
+	listener net.Listener
+	to       string
+
+	mu    sync.Mutex
+	conns []*relayed
+}
+
+// relayed is one connection through a relay.
+type relayed struct {
+	mu     sync.Mutex
+	silent bool
+	ends   [2]net.Conn
+}
+
+func newRelay(t *testing.T, to string) *relay {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{listener: l, to: to}
+	go r.run()
+	t.Cleanup(func() {
+		_ = l.Close()
+		r.cut()
+	})
+	return r
+}
+
+func (r *relay) addr() string { return r.listener.Addr().String() }
+
+func (r *relay) run() {
+	for {
+		from, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		to, err := net.Dial("tcp", r.to)
+		if err != nil {
+			_ = from.Close()
+			continue
+		}
+		c := &relayed{ends: [2]net.Conn{from, to}}
+		r.mu.Lock()
+		r.conns = append(r.conns, c)
+		r.mu.Unlock()
+		go c.pass(to, from)
+		go c.pass(from, to)
+	}
+}
+
+// pass copies one direction of a connection. Once silent, bytes and the end are
+// swallowed alike.
+func (c *relayed) pass(to, from net.Conn) {
+	part := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(part)
+		c.mu.Lock()
+		silent := c.silent
+		c.mu.Unlock()
+		switch {
+		case silent && err != nil:
+			return
+		case silent:
+			continue
+		case n > 0:
+			if _, err := to.Write(part[:n]); err != nil {
+				_ = from.Close()
+				return
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if err == io.EOF {
+			_ = to.(*net.TCPConn).CloseWrite()
+		} else {
+			_ = to.Close()
+		}
+		return
+	}
+}
+
+// silence lets the present connections swallow everything from now on.
+func (r *relay) silence() {
+	r.each(func(c *relayed) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.silent = true
+	})
+}
+
+// cut closes the present connections.
+func (r *relay) cut() {
+	r.each(func(c *relayed) {
+		for _, end := range c.ends {
+			_ = end.Close()
+		}
+	})
+}
+
+func (r *relay) each(do func(*relayed)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.conns {
+		do(c)
+	}
+}
