--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -5,7 +5,9 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 
 	"connectrpc.com/connect"
 )
@@ -120,6 +122,9 @@
 	return ok
 }
 
+// All returns the closed list of kinds in order of their names.
+func All() []Kind { return slices.Sorted(maps.Keys(table)) }
+
 // Error is an error of a known kind.
 type Error struct {
 	// Kind is the error's kind.
--- a/internal/idempotency/keys_test.go
+++ b/internal/idempotency/keys_test.go
@@ -196,3 +196,19 @@
 		t.Errorf("seed %d: %d requests with one key ran", seed, len(ran))
 	}
 }
+
+func TestAKeyCostsTwoWritesAndTwoReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		kv := platform.NewMemory()
+		k := newKeys(t, kv)
+		claim, _, err := k.Claim(t.Context(), request("0190f0e0-7c7e-7000-8000-000000000000", "body"))
+		is.NoErr(err)
+		k.Done(claim, &zinniaquayv1.RecordedAnswer{Status: 200, Body: make([]byte, 64)})
+		is.NoErr(k.Drain(t.Context()))
+		is.Equal(kv.Calls(), platform.Calls{Reads: 2, Writes: 2})
+		entry, err := kv.Get(t.Context(), claim.page)
+		is.NoErr(err)
+		t.Logf("a record with an answer of 64 bytes takes %d bytes", len(entry.Value))
+	})
+}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/rcrowley/go-metrics"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/errkind"
@@ -60,6 +61,7 @@
 			return r.lost(ctx, req, h, s, err)
 		}
 		r.opts.Events.Record(timeline.RequestResumed, req.id, fmt.Sprintf("from chunk %d: %v", s.next, err))
+		metrics.GetOrRegisterCounter("answers_resumed_total", r.opts.Registry).Inc(1)
 		pause(ctx, resumeEvery)
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -200,6 +200,7 @@
 		return false
 	}
 	req.retries++
+	metrics.GetOrRegisterCounter("request_retries_total", r.opts.Registry).Inc(1)
 	return true
 }
 
--- a/internal/sidecar/budget.go
+++ b/internal/sidecar/budget.go
@@ -1,6 +1,10 @@
 package sidecar
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/rcrowley/go-metrics"
+)
 
 // defaultBufferBytes bounds the answers that are kept where the settings do not.
 const defaultBufferBytes = 64 << 20
@@ -10,14 +14,16 @@
 	mu    sync.Mutex
 	limit int64
 	used  int64
+	gauge metrics.Gauge
 }
 
-// newBudget returns a budget of some bytes, the default for 0.
-func newBudget(limit int64) *budget {
+// newBudget returns a budget of some bytes, the default for 0, that shows what
+// is used in a registry.
+func newBudget(limit int64, registry metrics.Registry) *budget {
 	if limit <= 0 {
 		limit = defaultBufferBytes
 	}
-	return &budget{limit: limit}
+	return &budget{limit: limit, gauge: metrics.GetOrRegisterGauge("answer_buffer_bytes", registry)}
 }
 
 // take takes n bytes out of the budget. It reports false if they don't fit.
@@ -28,6 +34,7 @@
 		return false
 	}
 	b.used += int64(n)
+	b.gauge.Update(b.used)
 	return true
 }
 
@@ -36,6 +43,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.used -= int64(n)
+	b.gauge.Update(b.used)
 }
 
 // scarce reports whether more than half of the budget is used. New work then
--- a/internal/sidecar/engine.go
+++ b/internal/sidecar/engine.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/capacity"
 	"github.com/zinniaquay/zinniaquay/internal/errkind"
@@ -43,16 +45,23 @@
 	// once opens a connection for each request and never repeats one: a
 	// kept-alive connection lets the transport send a request again.
 	once *http.Client
+	// resumed counts streams that were taken up on a new connection.
+	resumed metrics.Counter
 }
 
-// newEngine returns the engine at a base URL.
-func newEngine(base string, dial rpc.Dial) *engine {
+// newEngine returns the engine at a base URL. It counts in a registry.
+func newEngine(base string, dial rpc.Dial, registry metrics.Registry) *engine {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: targetDialTimeout}).DialContext
 	}
 	shared := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleToTarget, IdleConnTimeout: idleToTarget, DisableCompression: true}
 	once := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
-	return &engine{base: base, shared: newClient(shared), once: newClient(once)}
+	return &engine{
+		base:    base,
+		shared:  newClient(shared),
+		once:    newClient(once),
+		resumed: metrics.GetOrRegisterCounter("streams_resumed_total", registry),
+	}
 }
 
 // newClient returns a client that passes redirects on to the caller.
--- a/internal/sidecar/engine_test.go
+++ b/internal/sidecar/engine_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/errkind"
@@ -67,7 +68,7 @@
 
 func offered(t *testing.T, e *engine, work *zinniaquayv1.WorkRequest) (*zinniaquayv1.End, *buffer) {
 	t.Helper()
-	answer := newBuffer(newBudget(0))
+	answer := newBuffer(newBudget(0, metrics.NewRegistry()))
 	end, _ := e.run(t.Context(), work, answer, func(float64) {})
 	return end, answer
 }
@@ -119,7 +120,7 @@
 			if method == "" {
 				method = "POST"
 			}
-			end, answer := offered(t, newEngine(base, nil), booking(method))
+			end, answer := offered(t, newEngine(base, nil, metrics.NewRegistry()), booking(method))
 			is.Equal(end.GetErrorKind(), string(c.kind))
 			is.True(!end.GetNotRun())
 			is.Equal(read.Load(), int64(1)) // never offered a second time
@@ -147,7 +148,7 @@
 		}
 		return "" // reads the request, closes the connection and the target
 	})
-	e := newEngine(base, nil)
+	e := newEngine(base, nil, metrics.NewRegistry())
 	end, _ := offered(t, e, model())
 	is.Equal(end.GetErrorKind(), "")
 	time.Sleep(50 * time.Millisecond) // the client takes its connection back
@@ -164,7 +165,7 @@
 	base := "http://" + l.Addr().String()
 	is.NoErr(l.Close())
 	for _, work := range []*zinniaquayv1.WorkRequest{booking("POST"), model()} {
-		end, _ := offered(t, newEngine(base, nil), work)
+		end, _ := offered(t, newEngine(base, nil, metrics.NewRegistry()), work)
 		is.True(end.GetNotRun())
 		is.Equal(end.GetErrorKind(), string(errkind.NoTarget))
 	}
@@ -181,7 +182,7 @@
 			}
 			return closeAtOnce
 		})
-		e := newEngine(base, nil)
+		e := newEngine(base, nil, metrics.NewRegistry())
 		work := booking("POST")
 		work.Body = []byte(body)
 		end, _ := offered(t, e, work)
--- a/internal/sidecar/events_test.go
+++ b/internal/sidecar/events_test.go
@@ -7,6 +7,7 @@
 	"testing/iotest"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 )
 
 const (
@@ -32,7 +33,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			answer := newBuffer(newBudget(0))
+			answer := newBuffer(newBudget(0, metrics.NewRegistry()))
 			// A connection gives bytes in any portions.
 			err := readEvents(iotest.HalfReader(strings.NewReader(c.stream)), answer, &meter{charge: func(float64) {}})
 			var garbage *garbageError
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -104,18 +104,18 @@
 
 // New returns a sidecar that does nothing until Run.
 func New(o Options) *Sidecar {
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewRegistry()
+	}
 	s := &Sidecar{
 		opts:    o,
-		engine:  newEngine(o.TargetURL, o.DialTarget),
-		budget:  newBudget(o.BufferBytes),
+		engine:  newEngine(o.TargetURL, o.DialTarget, o.Metrics),
+		budget:  newBudget(o.BufferBytes, o.Metrics),
 		wake:    make(chan struct{}, 1),
 		gate:    capacity.New(time.Now(), boundsOf(o.Store.Current(), o.Target)),
 		routers: newRouters(o.Routers),
 		jobs:    make(map[string]*job),
 	}
-	if o.Metrics == nil {
-		s.opts.Metrics = metrics.NewRegistry()
-	}
 	s.loaded = o.Platform == nil
 	if o.Knowledge != nil {
 		s.reporter = s.newReporter()
--- a/internal/sidecar/tombstone_test.go
+++ b/internal/sidecar/tombstone_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
@@ -63,7 +64,7 @@
 
 func TestBufferAnswersFullAndGivesRoomBack(t *testing.T) {
 	is := is.New(t)
-	b := newBudget(10)
+	b := newBudget(10, metrics.NewRegistry())
 	first, second := newBuffer(b), newBuffer(b)
 	is.NoErr(first.add(bodyChunk(make([]byte, 6))))
 	is.True(b.scarce())
--- a/internal/sidecar/transfer.go
+++ b/internal/sidecar/transfer.go
@@ -136,6 +136,7 @@
 
 // resume takes the stream up on a new connection.
 func (t *transfer) resume() (*http.Response, error) {
+	t.engine.resumed.Inc(1)
 	until := time.Now().Add(resumeTimeout)
 	for {
 		res, err := t.connect(t.fetch)
--- a/test/processfleet_test.go
+++ b/test/processfleet_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -355,7 +356,7 @@
 		if err == nil {
 			continue
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			_ = to.(*net.TCPConn).CloseWrite()
 		} else {
 			_ = to.Close()
