--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -48,6 +48,9 @@
 	CallerAddr string
 	// OperatorAddr (IP:port) is where operators reach the router.
 	OperatorAddr string
+	// ReadTimeout is the longest time that a caller may take to send a request.
+	// Default settings.DefaultReadTimeout.
+	ReadTimeout time.Duration
 	// Log takes the logs of all processes.
 	Log logr.Logger
 }
@@ -69,6 +72,9 @@
 
 // Start opens all listeners and commits the deployment's configuration.
 func Start(ctx context.Context, o Options) (*Fleet, error) {
+	if o.ReadTimeout == 0 {
+		o.ReadTimeout = settings.DefaultReadTimeout
+	}
 	f := &Fleet{options: o, token: rand.Text(), memory: platform.NewMemory(), sidecars: make(map[string]*process.Sidecar)}
 	if err := f.start(ctx); err != nil {
 		f.stopStandins()
@@ -198,7 +204,7 @@
 	r, err := process.NewRouter(&zinniaquayv1.RouterSettings{
 		Process: f.process("router-1", f.options.Deployment.Zones[0]), CallerAddr: f.options.CallerAddr,
 		OperatorAddr: f.options.OperatorAddr, OperatorTokenFile: f.secret("operator"), MaxBodyBytes: maxBodyBytes,
-		ReadTimeout: durationpb.New(settings.DefaultReadTimeout), DrainTimeout: durationpb.New(drainTimeout),
+		ReadTimeout: durationpb.New(f.options.ReadTimeout), DrainTimeout: durationpb.New(drainTimeout),
 	}, f.options.Log.WithValues("process", "router-1"))
 	if err != nil {
 		return fmt.Errorf("start router: %w", err)
--- a/internal/membership/choose.go
+++ b/internal/membership/choose.go
@@ -12,11 +12,12 @@
 // watch the platform for the others.
 const WatchersPerZone = 2
 
-// Size returns the number of members that are not gone, the process included.
+// Size returns the number of members that are not gone, the process included
+// even when it has announced that it is gone itself.
 func (l *List) Size() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.records) - l.gone
+	return max(1, len(l.records)-l.gone)
 }
 
 // Zones returns the number of availability zones with members that are not gone.
--- a/internal/membership/list_test.go
+++ b/internal/membership/list_test.go
@@ -188,3 +188,11 @@
 	is.True(!oldest)
 	is.Equal(len(l.Merge(all[:1])), 0) // what is forgotten at once is no news
 }
+
+func TestSizeCountsTheProcessWhenAllAreGone(t *testing.T) {
+	is := is.New(t)
+	l := NewList(&zinniaquayv1.Member{Name: "a"})
+	l.Merge([]*zinniaquayv1.Member{{Name: "b", State: zinniaquayv1.Member_gone}})
+	l.SetSelf(zinniaquayv1.Member_gone)
+	is.Equal(l.Size(), 1)
+}
