--- a/internal/standin/target/chat.go
+++ b/internal/standin/target/chat.go
@@ -139,14 +139,10 @@
 // limitOf returns the byte after which a stream's first connection breaks off
 // or falls silent.
 func limitOf(started *run) limit {
-	half := len(started.answer.Stream()) / 2
-	switch {
-	case started.faults.DropHalfWay:
-		return limit{bytes: half, abort: true}
-	case started.faults.Silent:
-		return limit{bytes: half}
+	if !started.faults.DropHalfWay && !started.faults.Silent {
+		return noLimit
 	}
-	return noLimit
+	return limit{bytes: len(started.answer.Stream()) / 2, abort: started.faults.DropHalfWay}
 }
 
 func writeGarbage(w http.ResponseWriter, streamed bool) {
