Show accounts with work waiting first and leave zones that are out unused

Seen on a phone-sized page under load: eight idle accounts stood above the one that waited, and a zone that operators had taken out counted as idle capacity (24 of 52 running in place of 24 of 36).

Shown failing first: the window of a zone that is out, an idle account ahead of one with work waiting.

--- a/internal/report/build.go
+++ b/internal/report/build.go
@@ -26,7 +26,7 @@
 	}
 	r.Gap = gapOf(r.Accounts, r.SpanMS > 0)
 	r.Zones = zones(config, answers)
-	r.Use = useOf(slices.Collect(maps.Values(answers)))
+	r.Use = useOf(slices.Collect(maps.Values(inZones(config, answers))))
 	r.Moves = moves(now, answers)
 	r.Refused = refusals(answers)
 	return r
@@ -102,11 +102,23 @@
 		list = append(list, a)
 	}
 	slices.SortFunc(list, func(a, b Account) int {
-		return cmp.Or(cmp.Compare(a.Share(), b.Share()), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.Share(), b.Share()), cmp.Compare(a.Name, b.Name))
 	})
 	return list
 }
 
+// rank puts accounts whose work waited all the time first, then those whose work
+// waits now.
+func (a Account) rank() int {
+	switch {
+	case a.Backlogged:
+		return 0
+	case a.Waiting > 0:
+		return 1
+	}
+	return 2
+}
+
 // Share returns the recent service divided by the weight.
 func (a Account) Share() float64 { return a.Recent / a.Weight }
 
@@ -157,6 +169,17 @@
 	return list
 }
 
+// inZones leaves out the sidecars of targets in availability zones that are out:
+// what they could run is no capacity that idles.
+func inZones(config *zinniaquayv1.Configuration, answers map[string]answer) map[string]answer {
+	in := maps.Clone(answers)
+	maps.DeleteFunc(in, func(_ string, a answer) bool {
+		target, ok := config.GetTargets()[a.status.GetMember().GetTarget()]
+		return ok && config.GetZones()[target.GetZone()].GetState() == zinniaquayv1.AvailabilityZone_out
+	})
+	return in
+}
+
 // answerOf returns the answer of the sidecar beside a target.
 func answerOf(answers map[string]answer, target string) (answer, bool) {
 	for _, a := range answers {
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -11,9 +11,10 @@
 	SpanMS int64 `json:"span_ms"`
 	// Gap is the fairness gap.
 	Gap Gap `json:"gap"`
-	// Use is the utilisation of all targets.
+	// Use is the utilisation of all targets in availability zones that are in.
 	Use Use `json:"use"`
-	// Accounts are the client accounts, those with least recent service first.
+	// Accounts are the client accounts: those whose work waited all the time, then
+	// those whose work waits now, then the others, each least served first.
 	Accounts []Account `json:"accounts"`
 	// Zones are the availability zones.
 	Zones []Zone `json:"zones"`
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -117,6 +117,13 @@
 	})
 }
 
+func TestZonesThatAreOutAreNoIdleCapacity(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	f.status["sidecar-2"].Window = 96
+	is.Equal(NewCollector(f).Report(t.Context()).Use, Use{Running: 3, Window: 4, Percent: 75, Waiting: 5})
+}
+
 func TestOperatorsWhoLookTogetherShareOneRound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -144,6 +151,9 @@
 	is.Equal(gapOf(list, true), Gap{}) // b had a moment without work
 	rounds[1].waiting["b"] = true
 	is.Equal(gapOf(accounts(nil, nil, rounds), true), Gap{Service: 8, Most: "a", Least: "b"})
+	rounds[1].service["idle"] = 0
+	list = accounts(nil, nil, rounds)
+	is.Equal(list[2].Name, "idle") // after those with work waiting, though it had least
 }
 
 func TestPageOfALargeFleetStaysShortAndShowsTroubleFirst(t *testing.T) {
