--- a/internal/demo/help.go
+++ b/internal/demo/help.go
@@ -27,7 +27,10 @@
   go run ./cmd/zinniaquay report
   go run ./cmd/zinniaquay status
   curl %[6]s/v1/config -H 'Authorization: Bearer %[15]s'
-Take an availability zone out (the number comes from the ETag of the line above):
+Take an availability zone out, and see that it is:
+  go run ./cmd/zinniaquay config patch --if-match 1 '{"zones":{%[16]q:{"state":"out"}}}'
+  go run ./cmd/zinniaquay report
+or the same over HTTP, where the number comes from the ETag of the line above:
   curl -X PATCH %[6]s/v1/config -H 'Authorization: Bearer %[15]s' -H 'Content-Type: application/merge-patch+json' -H 'If-Match: "1"' -d '{"zones":{%[16]q:{"state":"out"}}}'
 
 Other keys are demo-ACCOUNT, for example demo-%[17]s (large). Stop with Ctrl-C.
