Compare latencies load by load, and keep evidence within its holder's budget

Cause: at 200 targets a good version was taken back when demand rose, since the baseline of a route mixes loads and lags behind; and reports of 200 targets with failures came to 5089 bytes a second of 4096. Latencies are now compared under the same load, or with the old version's under the next higher one; failures over all loads. Targets report in three classes, each with a fixed rate in all: those that take the share, a panel of old ones, and the rest. Ruled out: reports of failures four times as often (5089 bytes a second at 200 targets); comparing under the same load only (a version slow at once reached a quarter of the traffic, as the old version never runs under low load).

--- a/internal/evidence/reporter.go
+++ b/internal/evidence/reporter.go
@@ -136,12 +136,9 @@
 	now := time.Now()
 	r.mu.Lock()
 	r.reset(d)
-	urgent := r.tally.Urgent()
+	news := r.tally.News()
 	r.mu.Unlock()
-	interval := move.ReportInterval(r.reporters(d))
-	if urgent {
-		interval = move.UrgentInterval
-	}
+	interval := d.ReportInterval(r.opts.Knowledge.Verdict(d), r.fleet(d), r.opts.Target, news)
 	holder, ok := r.choose(d, now)
 	if !ok || now.Sub(r.reported) < interval {
 		return
@@ -160,10 +157,18 @@
 	r.opts.Knowledge.Keep(placement.Declarations(snap))
 }
 
-// reporters returns how many targets report on a move.
-func (r *Reporter) reporters(d move.Declaration) int {
+// fleet returns the targets of a move that may start work.
+func (r *Reporter) fleet(d move.Declaration) move.Fleet {
 	snap := r.opts.Store.Current()
-	return len(snap.Targets(d.Service, d.From)) + len(snap.Targets(d.Service, d.To))
+	may := func(version string) (names []string) {
+		for _, name := range snap.Targets(d.Service, version) {
+			if snap.MayStart(name) {
+				names = append(names, name)
+			}
+		}
+		return names
+	}
+	return move.Fleet{Old: may(d.From), New: may(d.To)}
 }
 
 // choose returns the first router in rendezvous order that is not avoided, or
--- a/internal/move/judge.go
+++ b/internal/move/judge.go
@@ -106,7 +106,7 @@
 }
 
 func (j *Judge) mergeCell(rep *reporter, target string, m *zinniaquayv1.EvidenceCell, now time.Time) {
-	cell := Cell{m.GetDimension(), m.GetKey()}
+	cell := cellOf(m)
 	known := rep.cells[cell]
 	if known == nil {
 		known = &Counts{}
@@ -119,18 +119,27 @@
 	if news == (Counts{}) {
 		return
 	}
-	cmp := j.cells[cell]
-	if cmp == nil {
-		cmp = &comparison{}
-		j.cells[cell] = cmp
-	}
+	isOld := rep.version == j.declaration.From
 	if cell.Dimension == ByLoad {
-		j.total.count(rep.version == j.declaration.From, &news, now)
+		j.total.count(isOld, &news, now)
+	}
+	anyLoad := Cell{cell.Dimension, cell.Key, ""}
+	j.comparison(cell).count(isOld, &news, now)
+	j.comparison(anyLoad).count(isOld, &news, now)
+	if !isOld {
+		j.testFailures(anyLoad, target, &news, now)
+		j.testLatencies(cell, target, &news, now)
 	}
-	cmp.count(rep.version == j.declaration.From, &news, now)
-	if rep.version == j.declaration.To {
-		j.test(cell, cmp, target, &news, now)
+}
+
+// comparison returns a cell of the evidence.
+func (j *Judge) comparison(cell Cell) *comparison {
+	c := j.cells[cell]
+	if c == nil {
+		c = &comparison{}
+		j.cells[cell] = c
 	}
+	return c
 }
 
 // count enters answers of one side.
@@ -144,29 +153,63 @@
 	c.recent.add(news)
 }
 
-// test compares new answers with the old version and concludes if they are bad.
-func (j *Judge) test(cell Cell, c *comparison, target string, news *Counts, now time.Time) {
-	j.total.recent.decay(now)
-	side := c.recent
-	factor := 1.0
-	sideBySide := side.answers >= leastCompared
-	if !sideBySide {
-		side, factor = j.past(c)
-	}
+// testFailures compares how often new and old answers fail or are refused.
+func (j *Judge) testFailures(cell Cell, target string, news *Counts, now time.Time) {
+	c := j.cells[cell]
+	side, factor, sideBySide := j.side(c, now)
 	c.failed.add(target, news.Failed, news.Answers-news.Failed, upperRate(side.failed, side.answers), failureGain, now)
 	j.conclude(&c.failed, factor, "failures", cell, c)
+	// What callers do wrong changes from hour to hour, so that refusals tell
+	// something only side by side.
 	if sideBySide {
 		c.refused.add(target, news.Refused, news.Answers-news.Refused, upperRate(side.refused, side.answers), failureGain, now)
 		j.conclude(&c.refused, factor, "refusals", cell, c)
 	}
-	// What one account asks for changes from hour to hour, so that its speed
-	// tells something only side by side.
-	if sideBySide || cell.Dimension != ByAccount {
-		c.firstToken.addLatencies(target, &news.FirstToken, &side.firstToken, now)
-		j.conclude(&c.firstToken, factor, "time to first token", cell, c)
-		c.tokenGap.addLatencies(target, &news.TokenGap, &side.tokenGap, now)
-		j.conclude(&c.tokenGap, factor, "time between tokens", cell, c)
+}
+
+// testLatencies compares the times of new and old answers that started under the
+// same load: when demand rises, both versions slow down, but not in step with
+// the baseline of all loads. Where the old version does not run under that load,
+// its answers under the next higher one are the measure.
+func (j *Judge) testLatencies(cell Cell, target string, news *Counts, now time.Time) {
+	c := j.cells[cell]
+	side, factor, sideBySide := j.latencySide(cell, now)
+	// What one account asks for changes as well.
+	if !sideBySide && cell.Dimension == ByAccount {
+		return
+	}
+	c.firstToken.addLatencies(target, &news.FirstToken, &side.firstToken, now)
+	j.conclude(&c.firstToken, factor, "time to first token", cell, c)
+	c.tokenGap.addLatencies(target, &news.TokenGap, &side.tokenGap, now)
+	j.conclude(&c.tokenGap, factor, "time between tokens", cell, c)
+}
+
+// latencySide returns what the latencies of a cell are compared with, as side
+// does.
+func (j *Judge) latencySide(cell Cell, now time.Time) (side baseline, factor float64, sideBySide bool) {
+	own := slices.Index(loads[:], cell.Load)
+	for _, load := range loads[max(0, own):] {
+		c := j.cells[Cell{cell.Dimension, cell.Key, load}]
+		if c == nil {
+			continue
+		}
+		if side, factor, ok := j.side(c, now); ok {
+			return side, factor, true
+		}
+	}
+	return j.side(j.cells[cell], now)
+}
+
+// side returns what new answers of a cell are compared with, the factor on the
+// threshold, and whether it is recent answers of the same cell.
+func (j *Judge) side(c *comparison, now time.Time) (side baseline, factor float64, sideBySide bool) {
+	c.recent.decay(now)
+	j.total.recent.decay(now)
+	if c.recent.answers >= leastCompared {
+		return c.recent, 1, true
 	}
+	side, factor = j.past(c)
+	return side, factor, false
 }
 
 // past returns what stands in for the old version's recent answers in a cell
@@ -202,8 +245,8 @@
 	if j.badReason != "" || !test.alarmed(factor) {
 		return
 	}
-	j.badReason = fmt.Sprintf("%s of version %s for %s %q: %d of %d answers failed, %d refused; version %s: %d of %d failed, %d refused",
-		what, j.declaration.To, cell.Dimension, cell.Key, c.new.Failed, c.new.Answers, c.new.Refused,
+	j.badReason = fmt.Sprintf("%s of version %s for %s: %d of %d answers failed, %d refused; version %s: %d of %d failed, %d refused",
+		what, j.declaration.To, cell, c.new.Failed, c.new.Answers, c.new.Refused,
 		j.declaration.From, c.old.Failed, c.old.Answers, c.old.Refused)
 }
 
--- a/internal/move/judge_test.go
+++ b/internal/move/judge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -203,3 +204,21 @@
 	is.True(s.judge.Progress(s.fleet, "", now).OldIdle) // nobody answers
 	is.Equal(len(s.judge.Progress(s.fleet, "", now).Silent), 2)
 }
+
+func TestEvidenceStaysWithinTheBudgetOfItsHolder(t *testing.T) {
+	const budget = 4096 // bytes a second for all control of a process
+	for _, targets := range []int{2, 6, 16, 100} {
+		t.Run(fmt.Sprint(2*targets, " targets"), func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(11, targets)
+			s.rate = 7 * float64(targets) // requests a second of a target at the peak
+			s.d.Deadline = simStart.Add(10 * time.Minute)
+			length := time.Minute
+			s.run(0, length)
+			is.Equal(s.judge.badReason, "")
+			rate := float64(s.bytes) / length.Seconds()
+			t.Logf("%d targets: %.0f bytes a second", 2*targets, rate)
+			is.True(rate <= budget)
+		})
+	}
+}
--- a/internal/move/raise.go
+++ b/internal/move/raise.go
@@ -29,9 +29,11 @@
 	// frozenAfter is the time between two steps after which the process counts as
 	// having been frozen.
 	frozenAfter = 3 * time.Second
-	// silentAfter is the time after which a target that does not report is left
-	// out of account.
+	// silentAfter is the least time after which a target that does not report is
+	// left out of account.
 	silentAfter = 30 * time.Second
+	// silentReports is the number of reports that it must have missed by then.
+	silentReports = 3
 )
 
 // evidenceForLevel is the number of the new version's answers at a level before
@@ -46,6 +48,12 @@
 	New []string
 }
 
+// silentAfter returns the time after which a target that does not report is left
+// out of account.
+func (f Fleet) silentAfter() time.Duration {
+	return max(silentAfter, silentReports*f.longestInterval())
+}
+
 // Step raises the level by one if the evidence suffices. It returns why it does
 // not, or an empty text if there is nothing left to raise.
 func (j *Judge) Step(f Fleet, now time.Time) string {
@@ -118,7 +126,7 @@
 	n := 0
 	for _, target := range f.New {
 		r := j.reporters[target]
-		if r != nil && r.version == j.declaration.To && r.ready && now.Sub(r.heard) < silentAfter {
+		if r != nil && r.version == j.declaration.To && r.ready && now.Sub(r.heard) < f.silentAfter() {
 			n++
 		}
 	}
@@ -128,7 +136,7 @@
 // provedUnderLoad reports whether the new version was seen under the load that
 // the old one bears.
 func (j *Judge) provedUnderLoad(answers uint64) bool {
-	high := j.cells[Cell{ByLoad, string(LoadHigh)}]
+	high := j.cells[Cell{ByLoad, "", LoadHigh}]
 	if high == nil || float64(high.old.Answers) < highLoadPart*float64(j.total.old.Answers) {
 		return true
 	}
@@ -139,7 +147,7 @@
 func (j *Judge) suspicion() string {
 	for cell, c := range j.cells {
 		if c.failed.suspicious() || c.refused.suspicious() || c.firstToken.suspicious() || c.tokenGap.suspicious() {
-			return fmt.Sprintf("doubts about %s %q", cell.Dimension, cell.Key)
+			return fmt.Sprintf("doubts about %s", cell)
 		}
 	}
 	return ""
@@ -148,7 +156,7 @@
 // clearRoutes lets routes with evidence of their own follow the level.
 func (j *Judge) clearRoutes() {
 	for cell, c := range j.cells {
-		if cell.Dimension == ByRoute && c.new.Answers >= routeEvidence {
+		if cell.isRoute() && c.new.Answers >= routeEvidence {
 			j.cleared[cell.Key] = true
 		}
 	}
@@ -163,7 +171,7 @@
 	var waiting []string
 	for cell, c := range j.cells {
 		frequent := c.old.Answers+c.new.Answers >= routeEvidence
-		if cell.Dimension == ByRoute && frequent && !j.cleared[cell.Key] {
+		if cell.isRoute() && frequent && !j.cleared[cell.Key] {
 			waiting = append(waiting, cell.Key)
 		}
 	}
@@ -177,10 +185,10 @@
 
 // idle reports whether targets start no work any more. A target that has been
 // silent for long is left out of account and named.
-func (j *Judge) idle(targets []string, version string, now time.Time, quiet func(*reporter) bool) (idle bool, silent []string) {
+func (j *Judge) idle(targets []string, version string, after time.Duration, now time.Time, quiet func(*reporter) bool) (idle bool, silent []string) {
 	for _, target := range targets {
 		r := j.reporters[target]
-		if now.Sub(j.heardSince(r)) >= silentAfter {
+		if now.Sub(j.heardSince(r)) >= after {
 			silent = append(silent, target)
 			continue
 		}
@@ -226,13 +234,13 @@
 			j.declaration.To, j.total.new.Answers, j.total.new.Failed, j.ready(f, now), len(f.New)),
 	}
 	if j.badReason != "" {
-		p.NewIdle, p.Silent = j.idle(f.New, j.declaration.To, now, func(r *reporter) bool {
+		p.NewIdle, p.Silent = j.idle(f.New, j.declaration.To, f.silentAfter(), now, func(r *reporter) bool {
 			return r.informed && r.running == 0
 		})
 		return p
 	}
-	p.OldIdle, p.Silent = j.idle(f.Old, j.declaration.From, now, func(r *reporter) bool {
-		return now.Sub(r.startedAt) >= idleAfter
+	p.OldIdle, p.Silent = j.idle(f.Old, j.declaration.From, f.silentAfter(), now, func(r *reporter) bool {
+		return r.heard.Sub(r.startedAt) >= idleAfter
 	})
 	return p
 }
--- a/internal/move/sim_test.go
+++ b/internal/move/sim_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 )
 
@@ -38,6 +40,7 @@
 	affected  int
 	shownAt   time.Duration
 	peakShare float64
+	bytes     int
 	reported  map[string]time.Time
 	subsets   map[string][]string
 }
@@ -167,16 +170,19 @@
 func (s *simulation) reportOne(target, version string, ready bool, now time.Time) {
 	const holder = 7
 	t := s.tallies[target]
-	if now.Sub(s.reported[target]) < ReportInterval(2*len(s.fleet.New)) && !t.Urgent() {
+	if now.Sub(s.reported[target]) < s.d.ReportInterval(s.know.Verdict(s.d), s.fleet, target, t.News()) {
 		return
 	}
 	s.reported[target] = now
 	cells := t.Changed(holder, CellBytes)
-	s.judge.Merge(&zinniaquayv1.ReportEvidenceRequest{
+	req := &zinniaquayv1.ReportEvidenceRequest{
 		Move: s.d.Name, MoveDigest: s.d.Digest(), Version: version, Target: target,
-		Incarnation: 1, Started: s.started[target], Ready: ready,
+		Incarnation: uint64(now.UnixNano()), Started: s.started[target], Ready: ready,
 		KnowsVerdict: s.know.Bad(s.d), Cells: cells,
-	}, now)
+	}
+	s.bytes += proto.Size(req) + CallBytes
+	req.Incarnation = 1
+	s.judge.Merge(req, now)
 	t.Acknowledge(holder, cells)
 }
 
--- a/internal/move/subset.go
+++ b/internal/move/subset.go
@@ -17,12 +17,16 @@
 // and show what they do under it. All processes choose the same ones among the
 // same targets; a full share takes all.
 func Subset(d Declaration, targets []string, share float64) []string {
-	n := min(len(targets), max(leastSubset, int(math.Ceil(share*float64(len(targets))))))
+	return firstRanked(d, targets, max(leastSubset, int(math.Ceil(share*float64(len(targets))))))
+}
+
+// firstRanked returns the first n targets in an order of the move's own.
+func firstRanked(d Declaration, targets []string, n int) []string {
 	ordered := slices.Clone(targets)
 	slices.SortFunc(ordered, func(a, b string) int {
 		return cmp.Or(cmp.Compare(subsetRank(d, a), subsetRank(d, b)), cmp.Compare(a, b))
 	})
-	return ordered[:n]
+	return ordered[:min(n, len(ordered))]
 }
 
 func subsetRank(d Declaration, target string) uint64 {
--- a/internal/move/tally.go
+++ b/internal/move/tally.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -33,8 +34,26 @@
 type Cell struct {
 	// Dimension says which thing that is.
 	Dimension Dimension
-	// Key is its value.
+	// Key is its value; empty for ByLoad.
 	Key string
+	// Load of the target when the requests started. Empty for all loads.
+	Load Load
+}
+
+// isRoute reports whether the cell counts all answers of a route.
+func (c Cell) isRoute() bool { return c.Dimension == ByRoute && c.Load == "" }
+
+// String names the cell for operators.
+func (c Cell) String() string {
+	switch {
+	case c.Dimension == ByLoad && c.Load == "":
+		return "all requests"
+	case c.Dimension == ByLoad:
+		return fmt.Sprintf("requests under %s load", c.Load)
+	case c.Load == "":
+		return fmt.Sprintf("%s %q", c.Dimension, c.Key)
+	}
+	return fmt.Sprintf("%s %q under %s load", c.Dimension, c.Key, c.Load)
 }
 
 // Load is how busy a target was when a request started.
@@ -47,6 +66,9 @@
 	LoadHigh   Load = "high"
 )
 
+// loads lists the loads from low to high.
+var loads = [...]Load{LoadLow, LoadMiddle, LoadHigh}
+
 // LoadOf returns the load of a target.
 func LoadOf(running, most int) Load {
 	switch {
@@ -115,21 +137,21 @@
 
 // Observe counts one answer.
 func (t *Tally) Observe(o Observation) {
-	t.cell(Cell{ByLoad, string(o.Load)}).observe(o)
-	t.cell(Cell{ByRoute, o.Route}).observe(o)
-	t.cell(Cell{ByAccount, o.Account}).observe(o)
+	t.cell(Cell{ByLoad, "", o.Load}).observe(o)
+	t.cell(Cell{ByRoute, o.Route, o.Load}).observe(o)
+	t.cell(Cell{ByAccount, o.Account, o.Load}).observe(o)
 }
 
 func (t *Tally) cell(c Cell) *Counts {
 	if known, ok := t.cells[c]; ok {
 		return &known.counts
 	}
-	limit := MaxAccounts
+	limit := MaxAccounts * len(loads)
 	if c.Dimension == ByRoute {
-		limit = MaxRoutes
+		limit = MaxRoutes * len(loads)
 	}
 	if t.keys[c.Dimension] >= limit && c.Key != OtherKey {
-		return t.cell(Cell{c.Dimension, OtherKey})
+		return t.cell(Cell{c.Dimension, OtherKey, c.Load})
 	}
 	t.keys[c.Dimension]++
 	added := &tallyCell{cell: c}
@@ -170,6 +192,17 @@
 	return cells
 }
 
+// News reports whether there are answers that the present holder has not
+// acknowledged.
+func (t *Tally) News() bool {
+	for _, c := range t.cells {
+		if c.counts.Answers > c.acked.Answers {
+			return true
+		}
+	}
+	return false
+}
+
 // reportTo forgets what was acknowledged if the holder is another one.
 func (t *Tally) reportTo(holder uint64) {
 	if holder == t.holder {
@@ -195,6 +228,7 @@
 			cmp.Compare(b.counts.Answers-b.acked.Answers, a.counts.Answers-a.acked.Answers),
 			cmp.Compare(a.cell.Dimension, b.cell.Dimension),
 			cmp.Compare(a.cell.Key, b.cell.Key),
+			cmp.Compare(a.cell.Load, b.cell.Load),
 		)
 	})
 	return changed
@@ -204,7 +238,7 @@
 func (t *Tally) Acknowledge(holder uint64, cells []*zinniaquayv1.EvidenceCell) {
 	t.reportTo(holder)
 	for _, m := range cells {
-		if c, ok := t.cells[Cell{m.GetDimension(), m.GetKey()}]; ok {
+		if c, ok := t.cells[cellOf(m)]; ok {
 			c.acked = countsOf(m)
 		}
 	}
@@ -215,6 +249,7 @@
 	return &zinniaquayv1.EvidenceCell{
 		Dimension:  c.cell.Dimension,
 		Key:        c.cell.Key,
+		AtLoad:     string(c.cell.Load),
 		Answers:    n.Answers,
 		Failed:     n.Failed,
 		Refused:    n.Refused,
@@ -232,6 +267,11 @@
 	return slices.Clone(h[:end])
 }
 
+// cellOf reads which cell a part of a report is on.
+func cellOf(m *zinniaquayv1.EvidenceCell) Cell {
+	return Cell{m.GetDimension(), m.GetKey(), Load(m.GetAtLoad())}
+}
+
 // countsOf reads a cell of a report. Buckets that do not exist are ignored.
 func countsOf(m *zinniaquayv1.EvidenceCell) Counts {
 	c := Counts{Answers: m.GetAnswers(), Failed: m.GetFailed(), Refused: m.GetRefused()}
