--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -53,8 +53,8 @@
 	listener    net.Listener
 	// members is what the process knows of the fleet.
 	members *membership.List
-	// spread spreads the configuration, members and verdicts.
-	spread *peer.Node
+	// peers spreads the configuration, members and verdicts.
+	peers *peer.Node
 	// holder keeps this process's part of the ledger of service.
 	holder *ledger.Holder
 	// knowledge is what the process knows of versions that traffic moves to.
@@ -90,7 +90,7 @@
 	}
 	b.pool = rpc.NewPool(b.node)
 	b.members = membership.NewList(b.member(role, target))
-	b.spread = b.newSpread()
+	b.peers = b.newPeers()
 	b.holder = ledger.NewHolder(s.GetName(), b.incarnation)
 	b.events = timeline.NewRecorder(s.GetName(), timelineEvents, func() uint64 { return uint64(b.clock.Now()) }, b.registry)
 	return b, nil
@@ -165,25 +165,25 @@
 
 // peerService answers what every process answers to every other one.
 type peerService struct {
+	peers  *peer.Node
 	events *timeline.Recorder
 	holder *ledger.Holder
-	spread *peer.Node
 	status func() *zinniaquayv1.StatusResponse
 }
 
 // peerService returns the service with the status of a router or sidecar.
 func (b *base) peerService(status func() *zinniaquayv1.StatusResponse) *peerService {
-	return &peerService{events: b.events, holder: b.holder, spread: b.spread, status: status}
+	return &peerService{peers: b.peers, events: b.events, holder: b.holder, status: status}
 }
 
 // Exchange implements the RPC.
 func (p *peerService) Exchange(ctx context.Context, req *zinniaquayv1.ExchangeRequest) (*zinniaquayv1.ExchangeResponse, error) {
-	return p.spread.Exchange(ctx, req)
+	return p.peers.Exchange(ctx, req)
 }
 
 // FetchConfiguration implements the RPC.
 func (p *peerService) FetchConfiguration(ctx context.Context, req *zinniaquayv1.FetchConfigurationRequest) (*zinniaquayv1.FetchConfigurationResponse, error) {
-	return p.spread.FetchConfiguration(ctx, req)
+	return p.peers.FetchConfiguration(ctx, req)
 }
 
 // ReportService implements the RPC.
--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -234,7 +234,6 @@
 		route:    move.RouteOf(work.GetMethod(), work.GetPath()),
 		work:     work,
 		hint:     hint,
-		arrived:  now,
 		deadline: now.Add(timeout),
 		evicted:  make(chan struct{}),
 		granted:  make(chan holder, 1),
--- a/internal/router/queues.go
+++ b/internal/router/queues.go
@@ -99,7 +99,7 @@
 func (q *queues) heads(k queueKey, n int, now time.Time) []*request {
 	queue := q.byKey[k]
 	n = min(n, len(queue))
-	if n == 0 || now.Sub(queue[0].arrived) < overloadAfter {
+	if n == 0 || now.Sub(queue[0].queuedAt) < overloadAfter {
 		return queue[:n]
 	}
 	newest := slices.Clone(queue[len(queue)-n:])
@@ -114,7 +114,7 @@
 	for _, queue := range q.byKey {
 		last := queue[len(queue)-1]
 		if newest == nil || q.perAcct[last.account] > q.perAcct[newest.account] ||
-			last.account == newest.account && last.arrived.After(newest.arrived) {
+			last.account == newest.account && last.queuedAt.After(newest.queuedAt) {
 			newest = last
 		}
 	}
--- a/internal/router/queues_test.go
+++ b/internal/router/queues_test.go
@@ -12,7 +12,7 @@
 	q := newQueues()
 	start := time.Unix(0, 0)
 	for i, id := range []string{"a", "b", "c"} {
-		q.push(&request{id: id, account: "village", arrived: start.Add(time.Duration(i) * time.Millisecond)})
+		q.push(&request{id: id, account: "village", queuedAt: start.Add(time.Duration(i) * time.Millisecond)})
 	}
 	ids := func(n int, now time.Time) string {
 		s := ""
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -45,14 +45,12 @@
 // router's lock.
 type request struct {
 	// id is what callers and targets see.
-	id      string
-	account string
-	service string
-	version string
-	work    *zinniaquayv1.WorkRequest
-	hint    uint64
-	// arrived is when the request came to the router.
-	arrived  time.Time
+	id       string
+	account  string
+	service  string
+	version  string
+	work     *zinniaquayv1.WorkRequest
+	hint     uint64
 	deadline time.Time
 	// route tells evidence on a version's answers apart.
 	route string
