--- a/internal/move/judge_test.go
+++ b/internal/move/judge_test.go
@@ -91,7 +91,7 @@
 			for seed := range seeds {
 				s := newSimulation(seed, 6)
 				s.fault = f.spoil
-				at := s.run(0, 2*time.Hour)
+				at := s.run(2*time.Hour)
 				is.True(s.know.Bad(s.d)) // found
 				if f.small {
 					is.Equal(s.peakShare, s.d.SmallShare) // never exceeded its small share
@@ -117,7 +117,7 @@
 	alarms := 0
 	for seed := range runs {
 		s := newSimulation(1000+seed, 6)
-		s.run(0, 15*time.Minute)
+		s.run(15*time.Minute)
 		if s.know.Bad(s.d) {
 			alarms++
 			t.Logf("seed %d: %s", 1000+seed, s.judge.badReason)
@@ -142,7 +142,7 @@
 			is := is.New(t)
 			s := newSimulation(7, 6)
 			s.readyFrom = func(i int) time.Duration { return c.lastReady * time.Duration(i+1) / 6 }
-			s.run(0, 10*time.Minute)
+			s.run(10*time.Minute)
 			deadline := simStart.Add(10 * time.Minute)
 			missing := s.judge.Step(s.fleet, deadline)
 			state, reason := Next(Moving, s.judge.Progress(s.fleet, missing, deadline))
@@ -214,7 +214,7 @@
 			s.rate = 7 * float64(targets) // requests a second of a target at the peak
 			s.d.Deadline = simStart.Add(10 * time.Minute)
 			length := time.Minute
-			s.run(0, length)
+			s.run(length)
 			is.Equal(s.judge.badReason, "")
 			rate := float64(s.bytes) / length.Seconds()
 			t.Logf("%d targets: %.0f bytes a second", 2*targets, rate)
--- a/internal/move/sim_test.go
+++ b/internal/move/sim_test.go
@@ -72,8 +72,8 @@
 
 // run goes on until the verdict is bad or the time is over. It returns the time
 // at which it stopped.
-func (s *simulation) run(from, until time.Duration) time.Duration {
-	for at := from; at < until; at += simTick {
+func (s *simulation) run(until time.Duration) time.Duration {
+	for at := time.Duration(0); at < until; at += simTick {
 		n := s.poisson(s.rate * simTick.Seconds())
 		for range n {
 			s.request(at)
