Hold back a raise at a quarter of the alarm's threshold

Doubts lapse after two minutes without answers, or an account that never comes back would hold a move up for good.

--- a/internal/move/cusum.go
+++ b/internal/move/cusum.go
@@ -23,6 +23,8 @@
 	badFactor = 3.0
 	// mostBadRate bounds the rate of a bad version away from certainty.
 	mostBadRate = 0.9
+	// doubt is the part of the threshold that holds back a raise.
+	doubt = 0.25
 	// failureGain and slownessGain bound, as parts of the threshold, what one
 	// target adds in one slice of time: a short episode at one host is no fault
 	// of a version. Hosts are slow for some seconds more often than they fail.
@@ -78,4 +80,4 @@
 func (c *cusum) alarmed(factor float64) bool { return c.sum >= factor*alarmThreshold }
 
 // suspicious reports whether the sum is high enough to hold back a raise.
-func (c *cusum) suspicious() bool { return c.sum >= alarmThreshold/2 }
+func (c *cusum) suspicious() bool { return c.sum >= doubt*alarmThreshold }
--- a/internal/move/judge.go
+++ b/internal/move/judge.go
@@ -43,6 +43,8 @@
 type comparison struct {
 	old, new Counts
 	recent   baseline
+	// lastNew is when the new version last answered in this cell.
+	lastNew time.Time
 
 	failed, refused, firstToken, tokenGap cusum
 }
@@ -147,6 +149,7 @@
 	c.recent.decay(now)
 	if !isOld {
 		c.new.plus(news)
+		c.lastNew = now
 		return
 	}
 	c.old.plus(news)
--- a/internal/move/judge_test.go
+++ b/internal/move/judge_test.go
@@ -74,7 +74,7 @@
 		if a.Account == "a3" {
 			fail(a)
 		}
-	}, false, false, failureBound},
+	}, true, false, failureBound},
 }
 
 func TestBadVersionsAreTakenBackSoonAfterTheFaultShows(t *testing.T) {
@@ -83,7 +83,7 @@
 			t.Parallel()
 			is := is.New(t)
 			var worst time.Duration
-			most := 0
+			most, largest := 0, 0.0
 			seeds := uint64(simSeeds)
 			if f.late {
 				seeds = lateSeeds
@@ -91,7 +91,7 @@
 			for seed := range seeds {
 				s := newSimulation(seed, 6)
 				s.fault = f.spoil
-				at := s.run(2*time.Hour)
+				at := s.run(2 * time.Hour)
 				is.True(s.know.Bad(s.d)) // found
 				if f.small {
 					is.Equal(s.peakShare, s.d.SmallShare) // never exceeded its small share
@@ -100,9 +100,10 @@
 					worst = max(worst, at-s.shownAt)
 				}
 				most = max(most, s.affected)
+				largest = max(largest, s.peakShare)
 				is.True(s.judge.badReason != "")
 			}
-			t.Logf("worst time from answer %d spoilt to verdict %s, most answers spoilt %d", affectedToShow, worst, most)
+			t.Logf("worst time from answer %d spoilt to verdict %s, most answers spoilt %d, largest share %v", affectedToShow, worst, most, largest)
 			is.True(worst <= f.bound)
 		})
 	}
@@ -117,7 +118,7 @@
 	alarms := 0
 	for seed := range runs {
 		s := newSimulation(1000+seed, 6)
-		s.run(15*time.Minute)
+		s.run(15 * time.Minute)
 		if s.know.Bad(s.d) {
 			alarms++
 			t.Logf("seed %d: %s", 1000+seed, s.judge.badReason)
@@ -142,7 +143,7 @@
 			is := is.New(t)
 			s := newSimulation(7, 6)
 			s.readyFrom = func(i int) time.Duration { return c.lastReady * time.Duration(i+1) / 6 }
-			s.run(10*time.Minute)
+			s.run(10 * time.Minute)
 			deadline := simStart.Add(10 * time.Minute)
 			missing := s.judge.Step(s.fleet, deadline)
 			state, reason := Next(Moving, s.judge.Progress(s.fleet, missing, deadline))
--- a/internal/move/raise.go
+++ b/internal/move/raise.go
@@ -22,6 +22,9 @@
 	plentifulEvidence = 500
 	// readyPart is the part of the targets for a level that must be ready.
 	readyPart = 0.75
+	// doubtFor is how long doubts in a cell hold back a raise when no further
+	// answers come in it.
+	doubtFor = 2 * time.Minute
 	// leastDwell is the shortest time at one level.
 	leastDwell = 2 * time.Second
 	// idleAfter is the time without a start after which a version gets no work.
@@ -118,7 +121,7 @@
 	case next == FullLevel && !j.provedUnderLoad(answers):
 		return "too few answers under high load"
 	}
-	return j.suspicion()
+	return j.suspicion(now)
 }
 
 // ready returns how many targets of the new version can serve.
@@ -143,9 +146,12 @@
 	return high.new.Answers >= loadEvidence || answers >= plentifulEvidence
 }
 
-// suspicion names a test that is half way to its alarm.
-func (j *Judge) suspicion() string {
+// suspicion names a test that is on its way to an alarm.
+func (j *Judge) suspicion(now time.Time) string {
 	for cell, c := range j.cells {
+		if now.Sub(c.lastNew) >= doubtFor {
+			continue
+		}
 		if c.failed.suspicious() || c.refused.suspicious() || c.firstToken.suspicious() || c.tokenGap.suspicious() {
 			return fmt.Sprintf("doubts about %s", cell)
 		}
