--- a/bench/capacity/load.go
+++ b/bench/capacity/load.go
@@ -181,18 +181,21 @@
 // held returns the resident memory while some requests run or wait.
 func (f *fleet) held(ctx context.Context, model string, n int) (float64, error) {
 	holding, release := context.WithCancel(ctx)
-	ended := make(chan error, 1)
-	go func() { ended <- f.ask(holding, model, heldTokens, n) }()
+	var early error
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		early = f.ask(holding, model, heldTokens, n)
+	}()
 	err := sleep(ctx, quiet)
 	used, readErr := f.total()
 	select {
-	case early := <-ended:
+	case <-ended:
 		release()
 		return 0, fmt.Errorf("requests ended while they should be held: %w", early)
 	default:
 	}
 	release()
-	// The requests were cancelled, as meant.
-	_ = <-ended
+	<-ended
 	return used.resident, errors.Join(err, readErr)
 }
