--- a/bench/capacity/ledger_test.go
+++ b/bench/capacity/ledger_test.go
@@ -13,8 +13,9 @@
 // size. The rest of the limit is for reservations, claims and membership.
 func TestLedgerAtTheSizeToDesignFor(t *testing.T) {
 	is := is.New(t)
-	mean, most := newLedgerFleet(designProcesses).play(designBacklogged)
-	t.Logf("a process sends %.0f bytes a second on average, the busiest %.0f", mean, most)
+	f := newLedgerFleet(designProcesses)
+	mean, most := f.play(designBacklogged)
+	t.Logf("a process sends %.0f bytes a second on average, the busiest %.0f; holders ask for a report every %v at most", mean, most, f.longestPace)
 	is.True(mean <= controlBytes/2)
 	is.True(most <= controlBytes)
 }
