Forget accounts with the reports themselves

Routers hold accounts but run no duty of the ledger, so theirs were never forgotten, and sidecars looked through all of them ten times a second. Without the call TestForget goes red.

--- a/internal/ledger/duty.go
+++ b/internal/ledger/duty.go
@@ -104,7 +104,6 @@
 	for _, report := range due {
 		reports <- report // there is room: the limit saw to it
 	}
-	d.Holder.Forget(now)
 	metrics.GetOrRegisterGauge("ledger_unheld_accounts", d.Metrics).Update(int64(reporter.Unheld()))
 	metrics.GetOrRegisterGauge("ledger_held_accounts", d.Metrics).Update(int64(d.Holder.Accounts()))
 	return len(due)
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -18,6 +18,8 @@
 	contendedFor = 5 * time.Second
 	// forgetAfter is how long an account is kept without a report.
 	forgetAfter = time.Hour
+	// forgetEvery is how often accounts to forget are looked for.
+	forgetEvery = time.Minute
 	// paceWindow is the time over which reports are counted for the pace.
 	paceWindow = 10 * time.Second
 	// holderBytesPerSecond is what a holder spends on answers.
@@ -38,6 +40,7 @@
 	mu       sync.Mutex
 	accounts map[string]*record
 	load     load
+	swept    time.Time
 }
 
 // NewHolder returns an empty holder of a process.
@@ -54,6 +57,7 @@
 func (h *Holder) Report(now time.Time, req *zinniaquayv1.ReportServiceRequest) *zinniaquayv1.ReportServiceResponse {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.forget(now)
 	resp := &zinniaquayv1.ReportServiceResponse{Holder: h.name, Incarnation: h.incarnation}
 	for _, total := range req.GetTotals() {
 		r := h.record(now, total.GetAccount())
@@ -89,10 +93,13 @@
 	return len(h.accounts)
 }
 
-// Forget drops the accounts that nobody has reported for an hour.
-func (h *Holder) Forget(now time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+// forget drops the accounts that nobody has reported for an hour. The caller
+// holds the lock.
+func (h *Holder) forget(now time.Time) {
+	if now.Sub(h.swept) < forgetEvery {
+		return
+	}
+	h.swept = now
 	for account, r := range h.accounts {
 		if now.Sub(r.seen) > forgetAfter {
 			delete(h.accounts, account)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -94,10 +94,11 @@
 	is := is.New(t)
 	h := NewHolder("h", 1)
 	h.Report(start, report("r", 1, 7))
-	h.Forget(start.Add(forgetAfter))
+	other := &zinniaquayv1.ReportServiceRequest{Reporter: "r", Want: []string{"b"}}
+	h.Report(start.Add(forgetAfter), other)
+	is.Equal(h.Accounts(), 2)
+	h.Report(start.Add(forgetAfter+forgetEvery), other)
 	is.Equal(h.Accounts(), 1)
-	h.Forget(start.Add(forgetAfter + 1))
-	is.Equal(h.Accounts(), 0)
 }
 
 func TestPaceKeepsAnswersWithinTheHoldersBytes(t *testing.T) {
