--- a/internal/process/peers.go
+++ b/internal/process/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
@@ -53,12 +54,27 @@
 
 // Exchange implements peer.Caller.
 func (c *peerCaller) Exchange(ctx context.Context, addr string, req *zinniaquayv1.ExchangeRequest) (*zinniaquayv1.ExchangeResponse, error) {
-	return c.pool.Get(addr).Peer.Exchange(ctx, req)
+	to := c.pool.Get(addr)
+	resp, err := to.Peer.Exchange(ctx, req)
+	c.dropSilent(ctx, to, err)
+	return resp, err
 }
 
 // FetchConfiguration implements peer.Caller.
 func (c *peerCaller) FetchConfiguration(ctx context.Context, addr string, req *zinniaquayv1.FetchConfigurationRequest) (*zinniaquayv1.FetchConfigurationResponse, error) {
-	return c.pool.Get(addr).Peer.FetchConfiguration(ctx, req)
+	to := c.pool.Get(addr)
+	resp, err := to.Peer.FetchConfiguration(ctx, req)
+	c.dropSilent(ctx, to, err)
+	return resp, err
+}
+
+// dropSilent drops a peer's connections after a call that ran out of time, since
+// they may have gone silent for good. The pool does so only for its own timeout,
+// which is longer than that of the spreading.
+func (c *peerCaller) dropSilent(ctx context.Context, to *rpc.Peer, err error) {
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.pool.Reset(to)
+	}
 }
 
 // Started returns a channel that is closed once the process knows which
