Test the planned stop of a target that its sidecar is not told of

Red at first: the test's own relay took a connection for the target that took none, so that one booking's outcome was unknown, which was true; the test now goes without that relay.

--- a/test/processes_test.go
+++ b/test/processes_test.go
@@ -16,6 +16,7 @@
 
 // A stream through real processes under one fault in its middle.
 func TestProcessesAStreamUnderOneFault(t *testing.T) {
+	t.Parallel()
 	f := newProcessFleet(t, 1, 2, 20*time.Millisecond)
 	r, s := f.routers[0], f.sidecars[1]
 	for _, c := range []struct {
@@ -57,6 +58,7 @@
 // A caller that reads slowly gets its whole answer over connections that take no
 // more than so much at a time.
 func TestProcessesASlowCaller(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := newProcessFleet(t, 1, 2, 0)
 	request := chat("a long plan", 60_000, true)
@@ -75,6 +77,7 @@
 // Bookings through real processes that are killed, frozen and cut off, with
 // callers that try again at the other router under the same key.
 func TestProcessesNoBookingTwiceAndNoFalseNotRun(t *testing.T) {
+	t.Parallel()
 	const seed, callers, faults = 1, 24, 14
 	f := newProcessFleet(t, 2, 3, 300*time.Millisecond)
 	var mu sync.Mutex
@@ -162,9 +165,10 @@
 	}
 }
 
-// SIGTERM of a router, a sidecar and a target cuts no request in progress, and
-// the processes end with success.
+// SIGTERM of a router or a sidecar cuts no stream in progress, and the process
+// ends with success.
 func TestProcessesPlannedStops(t *testing.T) {
+	t.Parallel()
 	for _, name := range []string{"router", "sidecar"} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -194,3 +198,32 @@
 		})
 	}
 }
+
+// SIGTERM of a target, whose sidecar learns of it from the target alone, cuts no
+// booking: what the target takes no more goes to another one, once.
+func TestProcessesPlannedStopOfATarget(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startProcessFleet(t, &processFleet{t: t, direct: true}, 1, 3, 200*time.Millisecond)
+	var callers sync.WaitGroup
+	answers := make([]answer, 40)
+	for i := range answers {
+		callers.Go(func() {
+			time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+			answers[i] = f.call(t.Context(), 0, http.MethodPost, "/v1/services/kits/bookings", fmt.Sprint("key-", i), `{"item":"kit","quantity":1}`)
+		})
+	}
+	time.Sleep(time.Second)
+	f.targetProcesses[0].signal(syscall.SIGTERM)
+	callers.Wait()
+	<-f.targetProcesses[0].ended
+	is.NoErr(f.targetProcesses[0].err)
+	for _, a := range answers {
+		is.NoErr(a.err)
+		is.Equal(a.status, http.StatusOK)
+	}
+	f.targets = f.targets[2:] // the ledger of the target that is gone is gone as well
+	for _, n := range f.ledger().ByRequestID {
+		is.Equal(n, 1)
+	}
+}
--- a/test/processfleet_test.go
+++ b/test/processfleet_test.go
@@ -46,10 +46,15 @@
 type processFleet struct {
 	t           *testing.T
 	dir, binary string
-	platform    string
-	routers     []*routerProcess
-	sidecars    []*sidecarProcess
-	targets     []string
+	// direct leaves out the relays to targets, which take connections for a
+	// target that takes none.
+	direct   bool
+	platform string
+	routers  []*routerProcess
+	sidecars []*sidecarProcess
+	targets  []string
+	// targetProcesses are the targets' processes.
+	targetProcesses []*child
 }
 
 // routerProcess is a router with its addresses.
@@ -77,12 +82,17 @@
 }
 
 func newProcessFleet(t *testing.T, routers, targets int, perToken time.Duration) *processFleet {
+	t.Helper()
+	return startProcessFleet(t, &processFleet{t: t}, routers, targets, perToken)
+}
+
+func startProcessFleet(t *testing.T, f *processFleet, routers, targets int, perToken time.Duration) *processFleet {
 	t.Helper()
 	binary, err := buildBinary()
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &processFleet{t: t, dir: t.TempDir(), binary: binary, platform: freeAddr(t)}
+	f.dir, f.binary, f.platform = t.TempDir(), binary, freeAddr(t)
 	f.write("fleet-token", "a-token-of-the-fleet")
 	f.write("operator-token", "a-token-of-operators")
 	f.start("standin", "platform", "--addr", f.platform)
@@ -120,8 +130,8 @@
 func (f *processFleet) addSidecar(i int, perToken time.Duration) *sidecarProcess {
 	addr := freeAddr(f.t)
 	f.targets = append(f.targets, addr)
-	f.start("standin", "target", "--addr", addr, fmt.Sprintf("--plain=%t", i%2 == 0),
-		"--per-token", perToken.String(), "--first-token", "0s", "--slowdown", "0", "--cold-running", "0")
+	f.targetProcesses = append(f.targetProcesses, f.start("standin", "target", "--addr", addr, fmt.Sprintf("--plain=%t", i%2 == 0),
+		"--per-token", perToken.String(), "--first-token", "0s", "--slowdown", "0", "--cold-running", "0"))
 	s := &sidecarProcess{name: fmt.Sprintf("sidecar-%d", i), peer: freeAddr(f.t), toTarget: newRelay(f.t, addr)}
 	s.fromRouters = newRelay(f.t, s.peer)
 	f.sidecars = append(f.sidecars, s)
@@ -152,7 +162,11 @@
 
 func (f *processFleet) startSidecar(i int) {
 	s := f.sidecars[i]
-	settings := f.process(s.name, s.peer) + fmt.Sprintf("target: t%d\ntarget_url: http://%s\n", i, s.toTarget.addr())
+	addr := s.toTarget.addr()
+	if f.direct {
+		addr = f.targets[i]
+	}
+	settings := f.process(s.name, s.peer) + fmt.Sprintf("target: t%d\ntarget_url: http://%s\n", i, addr)
 	s.child = f.start("sidecar", "--settings", f.write(s.name+".yaml", settings))
 }
 
