--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -78,6 +78,9 @@
 	all      []*process
 	starts   uint64
 
+	// starting orders a restart before the end of the fleet.
+	starting sync.Mutex
+
 	mu sync.Mutex
 	// offers counts the requests that engines were offered, by request ID.
 	offers map[string]int
@@ -149,6 +152,17 @@
 	})
 }
 
+// offered returns how many requests all engines were offered.
+func (f *fleet) offered() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sum := 0
+	for _, n := range f.offers {
+		sum += n
+	}
+	return sum
+}
+
 // newDoc returns the configuration of the fleet.
 func newDoc(o fleetOptions) *zinniaquayv1.Configuration {
 	digest := sha256.Sum256([]byte(accountKey))
@@ -245,12 +259,16 @@
 	f.net.kill(h)
 	f.running[h].stop()
 	time.Sleep(10 * time.Millisecond)
+	f.starting.Lock()
+	defer f.starting.Unlock()
 	start()
 }
 
 // close ends the fleet and what is left of killed processes.
 func (f *fleet) close() {
 	time.Sleep(time.Second) // a restart may be under way
+	f.starting.Lock()
+	defer f.starting.Unlock()
 	for _, p := range f.all {
 		p.stop()
 	}
--- a/test/overload_test.go
+++ b/test/overload_test.go
@@ -97,10 +97,7 @@
 		}
 		time.Sleep(runTimeout)
 		seconds := (requests * gap).Seconds()
-		offered := 0
-		for _, n := range f.offers {
-			offered += n
-		}
+		offered := f.offered()
 		t.Logf("%d requests, %d offers", requests, offered)
 		is.True(offered > requests/2)
 		is.True(float64(offered) <= requests*(1+retry.ShareOfRequests)+retry.MinPerSecond*(seconds+runTimeout.Seconds()+1))
@@ -145,7 +142,7 @@
 		is := is.New(t)
 		f := newFleet(t, fleetOptions{routers: 1, targets: 1, maxRunning: 1, target: target.Options{PerToken: runTimeout - time.Second}})
 		defer f.close()
-		expired := 0
+		var expired atomic.Int64
 		var callers sync.WaitGroup
 		for range 5 {
 			callers.Go(func() {
@@ -153,13 +150,13 @@
 				n, _ := f.runs(a.id, "none")
 				is.Equal(a.notRun, n == 0)
 				if a.kind == errkind.WaitTimeout {
-					expired++
+					expired.Add(1)
 				}
 			})
 		}
 		callers.Wait()
 		time.Sleep(runTimeout)
-		is.Equal(len(f.bookings[0].Ledger().ByRequestID)+expired, 5)
-		is.True(expired >= 3)
+		is.Equal(len(f.bookings[0].Ledger().ByRequestID)+int(expired.Load()), 5)
+		is.True(expired.Load() >= 3)
 	})
 }
