--- a/internal/sidecar/dispatch.go
+++ b/internal/sidecar/dispatch.go
@@ -4,14 +4,24 @@
 	"context"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/capacity"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
+	"github.com/zinniaquay/zinniaquay/internal/telemetry"
 	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
+const (
+	// ClaimTimeout is how long a router may take to answer a claim.
+	ClaimTimeout = 300 * time.Millisecond
+	// askFresh is how long the target's answer from beside a claim counts. After
+	// a slower claim it is asked again.
+	askFresh = 10 * time.Millisecond
+)
+
 // dispatch claims waiting requests while the target has room, until the context
 // ends.
 func (s *Sidecar) dispatch(ctx context.Context) {
@@ -73,14 +83,22 @@
 // claim asks the router for a request and runs it if it is handed out. newest
 // is the number of the newest reservation when the claim began.
 func (s *Sidecar) claim(ctx context.Context, j *job, res *zinniaquayv1.Reservation, req *zinniaquayv1.ClaimRequest, newest uint64) {
+	begun := time.Now()
 	asked := s.askAboveCold(ctx)
-	answer, err := s.opts.Pool.Get(res.GetRouterAddr()).Router.Claim(ctx, req)
+	answer, err := s.ask(ctx, res.GetRouterAddr(), req)
+	s.countClaim(answer.GetGranted(), err)
 	s.renew(res, answer, err, newest)
 	asked.Wait()
 	if err != nil || !answer.GetGranted() {
 		s.abandon(j, "claim was not granted")
+		if err != nil {
+			s.sampleRouter(ctx, res.GetRouterAddr())
+		}
 		return
 	}
+	if time.Since(begun) > askFresh {
+		s.askAboveCold(ctx).Wait()
+	}
 	run, ok := s.begin(j, answer.GetRequest())
 	if !ok {
 		s.abandon(j, "claim was granted too late")
@@ -89,6 +107,32 @@
 	s.run(run, j, answer.GetRequest())
 }
 
+// countClaim counts a claim by what became of it.
+func (s *Sidecar) countClaim(granted bool, err error) {
+	result := "gone"
+	switch {
+	case err != nil:
+		result = "lost"
+	case granted:
+		result = "granted"
+	}
+	metrics.GetOrRegisterCounter(telemetry.Name("claims_total", "result", result), s.opts.Metrics).Inc(1)
+}
+
+// ask sends a claim. While it is under way it holds a place of the target, so
+// that one whose connection has gone silent is given up soon and the connection
+// with it.
+func (s *Sidecar) ask(ctx context.Context, addr string, req *zinniaquayv1.ClaimRequest) (*zinniaquayv1.ClaimResponse, error) {
+	bounded, cancel := context.WithTimeout(ctx, ClaimTimeout)
+	defer cancel()
+	peer := s.opts.Pool.Get(addr)
+	answer, err := peer.Router.Claim(bounded, req)
+	if err != nil && bounded.Err() != nil && ctx.Err() == nil {
+		s.opts.Pool.Reset(peer)
+	}
+	return answer, err
+}
+
 // askAboveCold asks the target for a sign of life, beside the claim, if more
 // requests are to run than a cold target bears. A target turns cold without
 // warning, so a sign from before the claim is not enough.
@@ -104,12 +148,14 @@
 
 // renew takes the reservations that came with the answer to a claim. If the
 // router says that nothing of the account waits, what it had placed up to the
-// claim is gone.
+// claim is gone. Without an answer nothing of the router's is claimed any more,
+// or each claim would hold a place of the target in vain.
 func (s *Sidecar) renew(claimed *zinniaquayv1.Reservation, answer *zinniaquayv1.ClaimResponse, err error, newest uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.waiting.claimed(claimed)
 	if err != nil {
+		s.waiting.dropRouter(claimed.GetRouterAddr(), newest)
 		return
 	}
 	if !answer.GetWaiting() {
--- a/test/decisions_test.go
+++ b/test/decisions_test.go
@@ -36,6 +36,8 @@
 type modelFleet struct {
 	*fleet
 	client *http.Client
+	// pending follows requests until their answers begin, if it is not nil.
+	pending *pending
 
 	mu     sync.Mutex
 	tokens map[string]float64 // tokens of whole answers, by account
@@ -48,30 +50,28 @@
 	accounts []string
 	bounds   capacity.Bounds
 	engine   target.Options
+	latency  time.Duration // of a packet; 0 is that of a new network
 }
 
-// newModelFleet returns a fleet; later leaves out the sidecars of some targets.
-func newModelFleet(t *testing.T, o modelOptions, later ...int) *modelFleet {
+// newModelFleet returns a fleet.
+func newModelFleet(t *testing.T, o modelOptions) *modelFleet {
 	f := &modelFleet{tokens: make(map[string]float64), fleet: &fleet{
 		t: t, net: newNetwork(), kv: platform.NewMemory(), doc: modelDoc(o),
 		engines: make(map[int]*target.Engine), running: make(map[string]*process),
 		routers: make([]*router.Router, o.routers), sidecars: make([]*sidecar.Sidecar, len(o.services)),
 	}}
 	f.client = &http.Client{Transport: &http.Transport{DialContext: f.net.dialer(callerHost), MaxIdleConnsPerHost: 1024}}
+	if o.latency > 0 {
+		f.net.latency = o.latency
+	}
 	for i := range o.routers {
 		f.links = append(f.links, platform.NewLink(f.kv))
 		f.startRouter(i)
 	}
-	left := make(map[int]bool)
-	for _, i := range later {
-		left[i] = true
-	}
 	for i := range o.services {
 		f.engines[i] = target.NewEngine(o.engine)
 		f.process(targetHost(i)).serve(&http.Server{Handler: f.engines[i]}, f.net.listen(targetHost(i)+":80"))
-		if !left[i] {
-			f.startModelSidecar(i)
-		}
+		f.startModelSidecar(i)
 	}
 	return f
 }
@@ -160,7 +160,14 @@
 		return
 	}
 	req.Header.Set("Authorization", "Bearer "+account)
+	var n int
+	if f.pending != nil {
+		n = f.pending.begin()
+	}
 	res, err := f.client.Do(req)
+	if f.pending != nil && ctx.Err() == nil {
+		f.pending.end(n)
+	}
 	if err != nil {
 		return // the test is over, or a router was killed
 	}
