--- a/internal/move/sim_test.go
+++ b/internal/move/sim_test.go
@@ -98,7 +98,7 @@
 	route := simRoutes[s.rng.IntN(len(simRoutes))]
 	share := s.d.Share(s.know.Verdict(s.d), route)
 	s.peakShare = max(s.peakShare, share)
-	a := &answer{elapsed: at, onNew: s.spread.Next(route, share, []string{"r1"})}
+	a := &answer{elapsed: at, onNew: s.spread.Next(route, share, func() []string { return []string{"r1"} })}
 	a.Route, a.Account = route, fmt.Sprintf("a%d", s.rng.IntN(s.accounts))
 	// Demand is high every other minute.
 	use := 0.5 + 0.45*float64(int(at.Minutes())%2)
--- a/internal/move/spread.go
+++ b/internal/move/spread.go
@@ -33,13 +33,14 @@
 }
 
 // Next reports whether the next request of a route goes to the new version.
-// Routers names all routers of the fleet, as this one knows them.
-func (s *Spreader) Next(route string, share float64, routers []string) bool {
+// Routers names all routers of the fleet, as this one knows them; it is called
+// for the first request of a route only.
+func (s *Spreader) Next(route string, share float64, routers func() []string) bool {
 	if _, ok := s.routes[route]; !ok && len(s.routes) >= MaxRoutes {
 		route = OtherKey
 	}
 	account, ok := s.routes[route]
-	if !ok && s.headStart(route, routers) {
+	if !ok && s.headStart(route, routers()) {
 		account = 1 - share
 	}
 	account += share
--- a/internal/move/spread_test.go
+++ b/internal/move/spread_test.go
@@ -19,7 +19,7 @@
 	}
 	chosen := 0
 	for i := range requests {
-		if spreaders[pick(i)].Next("rare", share, names) {
+		if spreaders[pick(i)].Next("rare", share, func() []string { return names }) {
 			chosen++
 		}
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -69,7 +69,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	share := d.Share(c.knowledge.Verdict(d), route)
-	if c.spreader(d).Next(route, share, c.routers()) {
+	if c.spreader(d).Next(route, share, c.routers) {
 		return d.To
 	}
 	return d.From
