--- a/internal/process/router.go
+++ b/internal/process/router.go
@@ -63,6 +63,7 @@
 		Pool:         b.pool,
 		Log:          log,
 		KV:           b.platform,
+		BalancerLag:  s.GetBalancerLag().AsDuration(),
 		Registry:     b.registry,
 		Events:       b.events,
 		Versions:     placement.NewChooser(s.GetProcess().GetName(), b.knowledge, p.routerNames),
--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -181,7 +181,7 @@
 
 // admit finds the client account that a caller speaks for.
 func (r *Router) admit(req *http.Request) (*configstore.Snapshot, string, error) {
-	if err := r.Ready(); err != nil {
+	if err := r.takes(); err != nil {
 		return nil, "", err
 	}
 	snap := r.opts.Store.Current()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -52,6 +52,9 @@
 	Events *timeline.Recorder
 	// Registry takes the metrics. Default one of its own.
 	Registry metrics.Registry
+	// BalancerLag is how long a router that shuts down, unready already, still
+	// takes requests, so that the balancer can leave it out first. Default none.
+	BalancerLag time.Duration
 	// MaxWaiting bounds the waiting requests of all accounts. Default 8192.
 	MaxWaiting int
 	// Versions chooses versions while traffic moves. Without it every request
@@ -71,11 +74,14 @@
 	keys     *idempotency.Keys
 	refusals *refusals
 
-	mu       sync.Mutex
-	retries  *retry.Budget
-	queues   *queues
-	claims   claimTimes
-	running  int
+	mu      sync.Mutex
+	retries *retry.Budget
+	queues  *queues
+	claims  claimTimes
+	running int
+	// leaving says that the router is unready, and draining that it takes no
+	// requests.
+	leaving  bool
 	draining bool
 }
 
@@ -110,9 +116,14 @@
 	duties.Wait()
 }
 
-// Drain refuses new requests and waits until none is left and all idempotency
-// keys are settled, or until the context ends.
+// Drain turns unready, refuses new requests after the balancer's lag and waits
+// until none is left and all idempotency keys are settled, or until the context
+// ends.
 func (r *Router) Drain(ctx context.Context) error {
+	r.mu.Lock()
+	r.leaving = true
+	r.mu.Unlock()
+	pause(ctx, r.opts.BalancerLag)
 	r.mu.Lock()
 	r.draining = true
 	r.mu.Unlock()
@@ -138,9 +149,21 @@
 	return r.queues.len() + r.running
 }
 
-// Ready reports whether the router takes requests: it has a configuration and
-// is not shutting down.
+// Ready reports whether the balancer should send requests here: the router takes
+// them and is not about to leave.
 func (r *Router) Ready() error {
+	r.mu.Lock()
+	leaving := r.leaving
+	r.mu.Unlock()
+	if leaving {
+		return errkind.New(errkind.Draining, "this router is shutting down")
+	}
+	return r.takes()
+}
+
+// takes reports whether the router takes requests: it has a configuration and
+// does not drain.
+func (r *Router) takes() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.draining {
--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -21,6 +21,7 @@
 	// request.
 	DefaultReadTimeout  = 10 * time.Second
 	defaultDrainTimeout = 150 * time.Second
+	defaultBalancerLag  = 2 * time.Second
 	defaultBufferBytes  = 64 << 20
 	defaultLogLevel     = "info"
 )
@@ -62,6 +63,7 @@
 		positiveBytes("max_body_bytes", &s.MaxBodyBytes, defaultMaxBodyBytes),
 		positiveDuration("read_timeout", &s.ReadTimeout, DefaultReadTimeout),
 		positiveDuration("drain_timeout", &s.DrainTimeout, defaultDrainTimeout),
+		positiveDuration("balancer_lag", &s.BalancerLag, defaultBalancerLag),
 	)
 }
 
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -37,6 +37,8 @@
 	callerHost = "10.9.0.1"
 	// runTimeout is the timeout of services in the fleet under test.
 	runTimeout = 12 * time.Second
+	// balancerLag is how long a leaving router still takes requests.
+	balancerLag = 500 * time.Millisecond
 )
 
 func routerHost(i int) string  { return fmt.Sprintf("10.0.0.%d", i+1) }
@@ -220,6 +222,7 @@
 	pool := rpc.NewPool(node)
 	r := router.New(router.Options{
 		Addr: node.Addr, MaxBodyBytes: 1 << 20, Store: store, Pool: pool, Log: logr.Discard(), KV: f.links[i],
+		BalancerLag: balancerLag,
 	})
 	f.routers[i] = r
 	f.run(p, pool, r.Run)
--- a/test/leaving_test.go
+++ b/test/leaving_test.go
@@ -120,6 +120,8 @@
 				time.Sleep(time.Millisecond)
 				is.Equal(f.call(t.Context(), 0, http.MethodGet, "/readyz", "", "").kind, errkind.Draining)
 				is.Equal(f.call(t.Context(), 1, http.MethodGet, "/readyz", "", "").status, http.StatusOK)
+				// The balancer has not seen it yet.
+				is.Equal(f.call(t.Context(), 0, http.MethodGet, stockPath, "", "").status, http.StatusOK)
 			}()
 			drained = f.shutdown(routerHost(0), f.routers[0].Drain)
 		}()
