Choose the targets of a share once for a sample, and only for queues that are due

Cause: the choice sorted a version's targets for every queue at every look. A target that is slow to tell its version keeps the one it told last; only one that takes no connection may come back with another.

--- a/internal/router/placer.go
+++ b/internal/router/placer.go
@@ -104,7 +104,7 @@
 	p.book.sweep(r.queues, snap.Number)
 	placements := make(map[string]*placement)
 	for k := range r.queues.byKey {
-		for _, target := range p.book.of(k).widen(r.eligible(snap, k, now), now) {
+		for _, target := range p.book.of(k).widen(func() []string { return r.eligible(snap, k, now) }, now) {
 			p.add(placements, snap, k, target, now)
 		}
 	}
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
@@ -73,13 +72,15 @@
 	target := snap.Doc.GetTargets()[name]
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := time.Now()
+	takesShare := r.takesShare(snap, target, name)
 	var found []*zinniaquayv1.Reservation
 	for _, queue := range r.queues.byKey {
 		if len(found) >= limit {
 			break
 		}
-		if serves(target, queue[0]) && slices.Contains(r.eligible(snap, key(queue[0]), time.Now()), name) {
-			found = append(found, r.placer.reserve(key(queue[0]), name, 0, time.Now())...)
+		if serves(target, queue[0]) && (takesShare || !queue[0].fresh(now)) {
+			found = append(found, r.placer.reserve(key(queue[0]), name, 0, now)...)
 		}
 	}
 	return found
--- a/internal/router/tickets.go
+++ b/internal/router/tickets.go
@@ -89,13 +89,13 @@
 // widen returns the targets that are to hear of a queue now, out of those that
 // may: as many as know it already, and at least placeWidth, at random among the
 // others.
-func (t *tickets) widen(eligible []string, now time.Time) []string {
+func (t *tickets) widen(eligible func() []string, now time.Time) []string {
 	if now.Before(t.dueAt) {
 		return nil
 	}
 	var fresh []string
 	knowing := 0
-	for _, name := range eligible {
+	for _, name := range eligible() {
 		if at, ok := t.known[name]; ok && now.Sub(at) < ticketLife {
 			knowing++
 			continue
--- a/internal/router/versions.go
+++ b/internal/router/versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
@@ -45,11 +46,20 @@
 	return r.opts.Versions != nil && r.opts.Versions.Bad(snap, t.GetService(), t.GetVersion())
 }
 
+// fresh reports whether a request may wait for the targets that take a share.
+func (r *request) fresh(now time.Time) bool { return now.Sub(r.queuedAt) < concentrateFor }
+
+// takesShare reports whether a target is one of those that take the present
+// share of its version.
+func (r *Router) takesShare(snap *configstore.Snapshot, t *zinniaquayv1.Target, name string) bool {
+	return r.opts.Versions == nil || slices.Contains(r.opts.Versions.Targets(snap, t.GetService(), t.GetVersion()), name)
+}
+
 // eligible returns the targets that may hear of a queue. The caller holds the
 // lock.
 func (r *Router) eligible(snap *configstore.Snapshot, k queueKey, now time.Time) []string {
 	queue := r.queues.byKey[k]
-	if r.opts.Versions != nil && len(queue) > 0 && now.Sub(queue[0].queuedAt) < concentrateFor {
+	if r.opts.Versions != nil && len(queue) > 0 && queue[0].fresh(now) {
 		return r.opts.Versions.Targets(snap, k.service, k.version)
 	}
 	var targets []string
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -92,11 +92,15 @@
 		s.setLoaded(true)
 		return
 	}
-	if err != nil {
-		// It may have been replaced by one that has another version loaded.
+	if isDial(err) {
+		// It may come back with another version loaded.
 		s.setLoaded(false)
 		return
 	}
+	if err != nil {
+		// It is slow to answer; what it told last counts.
+		return
+	}
 	next := o.loader.Next(target.GetVersion(), order.TargetState(state), time.Now())
 	s.setLoaded(next == order.Ready)
 	if next == order.AskPermit || next == order.GiveOrder {
