--- a/internal/evidence/path_test.go
+++ b/internal/evidence/path_test.go
@@ -19,6 +19,7 @@
 const noMoreWorkWithin = 3 * time.Second
 
 func TestGoodVersionGetsAllTrafficByTheDeadline(t *testing.T) {
+	t.Parallel()
 	bubble(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 1, 2, 2, declared(2*time.Minute, 0.2))
@@ -39,11 +40,13 @@
 }
 
 func TestVersionThatFailsAtOnceIsTakenBack(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name string
 		down bool
 	}{{"platform up", false}, {"platform down", true}} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			bubble(t, func(t *testing.T) {
 				is := is.New(t)
 				f := newFleet(t, 1, 2, 2, declared(time.Hour, 0.2))
@@ -74,6 +77,7 @@
 }
 
 func TestFaultAfterTheMoveIsDoneStillTakesItBack(t *testing.T) {
+	t.Parallel()
 	bubble(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 1, 2, 2, declared(2*time.Minute, 0.2))
@@ -90,6 +94,7 @@
 }
 
 func TestRouterThatKnowsNothingStartsNothingOnABadVersion(t *testing.T) {
+	t.Parallel()
 	bubble(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 2, 2, 2, declared(time.Hour, 0.2))
@@ -115,6 +120,7 @@
 }
 
 func TestTargetServesOnlyTheVersionThatItWasOrderedToLoad(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name   string
 		checks bool
@@ -122,6 +128,7 @@
 		wait time.Duration
 	}{{"target checks fencing", true, 0}, {"target ignores fencing", false, 12 * time.Second}} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			bubble(t, func(t *testing.T) {
 				is := is.New(t)
 				f := newFleet(t, 1, 1, 1, declared(time.Hour, 0.5))
@@ -147,6 +154,7 @@
 }
 
 func TestHolderThatDiesIsReplaced(t *testing.T) {
+	t.Parallel()
 	bubble(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 3, 2, 2, declared(time.Hour, 0.2))
@@ -166,6 +174,7 @@
 }
 
 func TestGoodVersionMovesInTimeWhileThePlatformIsDownForHalfOfIt(t *testing.T) {
+	t.Parallel()
 	for _, downFirst := range []bool{true, false} {
 		bubble(t, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/evidence/zone_test.go
+++ b/internal/evidence/zone_test.go
@@ -49,6 +49,7 @@
 }
 
 func TestZoneThatIsOutStartsNothingWithinTwoSeconds(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name string
 		// informed are the processes that the patch reaches by itself.
@@ -61,6 +62,7 @@
 		{"platform down right after the patch: one sidecar of the zone heard", []string{"new0"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			bubble(t, func(t *testing.T) {
 				is := is.New(t)
 				f := newZones(t, 2, 2)
@@ -79,8 +81,10 @@
 }
 
 func TestEitherEndAloneKeepsWorkOffAZone(t *testing.T) {
+	t.Parallel()
 	for _, informed := range []string{"r", "new"} {
 		t.Run(informed, func(t *testing.T) {
+			t.Parallel()
 			bubble(t, func(t *testing.T) {
 				is := is.New(t)
 				f := newZones(t, 2, 2)
@@ -99,6 +103,7 @@
 }
 
 func TestWorkInProgressInAZoneThatGoesOutFinishes(t *testing.T) {
+	t.Parallel()
 	bubble(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newZones(t, 1, 1)
@@ -117,6 +122,7 @@
 }
 
 func TestZoneThatComesBackRampsUpAsIfCold(t *testing.T) {
+	t.Parallel()
 	bubble(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newZones(t, 1, 1)
@@ -136,6 +142,7 @@
 }
 
 func TestRacingPatchesEndWithTheHigherNumberEverywhere(t *testing.T) {
+	t.Parallel()
 	bubble(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newZones(t, 2, 2)
@@ -200,6 +207,7 @@
 }
 
 func TestServiceWhileAZoneLeavesAndReturns(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	const (
 		asked = 600
