Show targets the caller's request ID until a hand-out may have run

The first hand-out had never started, and the second one went to the target under the ID of the hand-out, so that the answer named an ID that the caller does not know. No byte was lost or anybody else's. Ruled out: a stream resumed at a wrong byte, which would not add two bytes to each event; an error event at the end, which has another length. Change: only a hand-out after one that may have run has an ID of its own.

--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -75,10 +75,11 @@
 // handoutID returns the identity of the present hand-out.
 func (r *request) handoutID() string { return fmt.Sprintf("%s.%d", r.id, r.handouts) }
 
-// targetID returns the ID that the target sees: the request's own, and another
-// one for each later hand-out, so that an engine never takes one for the other.
+// targetID returns the ID that the target sees: the request's own until a
+// hand-out may have run, and another one for each later hand-out, so that an
+// engine never takes one for the other.
 func (r *request) targetID() string {
-	if r.handouts == 0 {
+	if r.retries == 0 {
 		return r.id
 	}
 	return r.handoutID()
