--- a/internal/router/tickets.go
+++ b/internal/router/tickets.go
@@ -14,9 +14,11 @@
 	ticketsEach = 4
 	// placeWidth is how many sidecars hear of a queue at first.
 	placeWidth = 2
-	// widenEvery is when as many sidecars again hear of a queue that still
-	// waits. With 16 eligible targets all have heard after 4 rounds.
+	// widenEvery is when more sidecars hear of a queue that still waits.
 	widenEvery = 10 * time.Millisecond
+	// widenBy is how many times as many as know it hear of it then. With 18
+	// eligible targets all have heard after 3 rounds.
+	widenBy = 2
 	// ticketLife is how long a target counts as knowing a queue without a claim.
 	// Sidecars keep reservations for longer.
 	ticketLife = 10 * time.Second
@@ -87,8 +89,8 @@
 }
 
 // widen returns the targets that are to hear of a queue now, out of those that
-// may: as many as know it already, and at least placeWidth, at random among the
-// others.
+// may: widenBy times as many as know it already, and at least placeWidth, at
+// random among the others.
 func (t *tickets) widen(eligible []string, now time.Time) []string {
 	if now.Before(t.dueAt) {
 		return nil
@@ -107,7 +109,7 @@
 		t.dueAt = now.Add(checkEvery)
 	}
 	rand.Shuffle(len(fresh), func(i, j int) { fresh[i], fresh[j] = fresh[j], fresh[i] })
-	return fresh[:min(len(fresh), max(placeWidth, knowing))]
+	return fresh[:min(len(fresh), max(placeWidth, widenBy*knowing))]
 }
 
 // namingWeight is by how many places in the queue a reservation sets a request
