Put members, outages, patches, orders and cold turns on the time line

Cause: eight kinds of the closed list of events were never recorded, two of them (a process that has stopped, each reservation) could not help anybody. Change: those two are gone from the list, the others are recorded where they happen. The test of the whole fleet asks for them; with the members' duty left out it fails.

--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -8,13 +8,16 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
+	"github.com/zinniaquay/zinniaquay/internal/platform"
 	"github.com/zinniaquay/zinniaquay/internal/settings"
 	"github.com/zinniaquay/zinniaquay/internal/standin/target"
 	"github.com/zinniaquay/zinniaquay/internal/timeline"
@@ -72,11 +75,18 @@
 	is.Equal(kindsOf(t, f, res.Header.Get("X-Request-Id")), []string{
 		"router-1 request.accepted", "router-1 request.claimed", "sidecar request.started", "sidecar request.ended",
 	})
+	for _, kind := range []string{"router-1 process.started", "router-1 config.applied", "router-1 peer.joined", "sidecar config.applied"} {
+		is.True(slices.Contains(kindsOf(t, f, ""), kind)) // the life of processes is on the time line as well
+	}
+	f.memory.SetFaults(platform.Faults{Down: true})
+	for !slices.ContainsFunc(kindsOf(t, f, ""), func(kind string) bool { return strings.HasSuffix(kind, " platform.lost") }) {
+		time.Sleep(50 * time.Millisecond)
+	}
 	stop()
 	is.NoErr(<-ended)
 }
 
-// kindsOf returns the time line of a request.
+// kindsOf returns the time line of a request, or of everything.
 func kindsOf(t *testing.T, f *Fleet, id string) []string {
 	t.Helper()
 	is := is.New(t)
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -39,6 +39,8 @@
 	Editor *configstore.Editor
 	// Store holds the configuration in force at this router.
 	Store *configstore.Store
+	// Accepted is told of each accepted patch; nil for nobody.
+	Accepted func(configstore.Result)
 }
 
 // Register adds the paths of the configuration.
@@ -151,6 +153,9 @@
 		refuse(w, err)
 		return
 	}
+	if c.Accepted != nil {
+		c.Accepted(result)
+	}
 	w.Header().Set("ETag", etag(result.Number))
 	writeJSON(w, Accepted{Number: result.Number, PatchID: result.PatchID})
 }
--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -81,10 +81,12 @@
 		clock:       &clock.Clock{},
 		store:       configstore.NewStore(),
 		knowledge:   move.NewKnowledge(),
-		platform:    platform.NewRemote(http.DefaultClient, "http://"+s.GetPlatformAddr()),
 		incarnation: uint64(time.Now().UnixNano()),
 		listener:    listener,
 	}
+	b.events = timeline.NewRecorder(s.GetName(), timelineEvents, func() uint64 { return uint64(b.clock.Now()) }, b.registry)
+	remote := platform.NewRemote(http.DefaultClient, "http://"+s.GetPlatformAddr())
+	b.platform = platform.NewObserved(remote, b.recordPlatform)
 	b.node = &rpc.Node{
 		Token:               token.Reveal(),
 		Addr:                listener.Addr().String(),
@@ -95,30 +97,12 @@
 	b.members = membership.NewList(b.member(role, target))
 	b.peers = b.newPeers()
 	b.holder = ledger.NewHolder(s.GetName(), b.incarnation)
-	b.events = timeline.NewRecorder(s.GetName(), timelineEvents, func() uint64 { return uint64(b.clock.Now()) }, b.registry)
 	return b, nil
 }
 
 // PeerAddr returns the address (IP:port) for other processes.
 func (b *base) PeerAddr() string { return b.node.Addr }
 
-// recordConfigurations puts each configuration that comes into force on the
-// time line, until the context ends.
-func (b *base) recordConfigurations(ctx context.Context) {
-	for last := uint64(0); ; {
-		changed := b.store.Changed()
-		if number := b.store.Number(); number != last {
-			last = number
-			b.events.Record(timeline.ConfigApplied, "", fmt.Sprintf("number %d", number))
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
-	}
-}
-
 // member returns the process as its peers see it.
 func (b *base) member(role zinniaquayv1.Member_Role, target string) *zinniaquayv1.Member {
 	return &zinniaquayv1.Member{
--- a/internal/process/operator.go
+++ b/internal/process/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 
 	"github.com/julienschmidt/httprouter"
@@ -86,7 +87,13 @@
 	mux := httprouter.New()
 	mux.HandleMethodNotAllowed = false
 	reader.Register(mux)
-	config := &operator.Config{Editor: configstore.NewEditor(p.platform, p.store), Store: p.store}
+	config := &operator.Config{
+		Editor: configstore.NewEditor(p.platform, p.store),
+		Store:  p.store,
+		Accepted: func(r configstore.Result) {
+			p.events.Record(timeline.ConfigPatched, "", fmt.Sprintf("number %d by patch %s", r.Number, r.PatchID))
+		},
+	}
 	config.Register(mux)
 	mux.Handler(http.MethodGet, "/metrics", telemetry.Handler(p.registry))
 	mux.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/process/router.go
+++ b/internal/process/router.go
@@ -91,6 +91,7 @@
 	serve(&duties, peers, p.listener, failed)
 	duties.Go(func() { p.router.Run(running) })
 	duties.Go(func() { p.recordConfigurations(running) })
+	duties.Go(func() { p.recordMembers(running) })
 	duties.Go(func() { p.peers.Run(running) })
 	p.events.Record(timeline.ProcessStarted, "", p.node.Addr)
 	duties.Go(func() { p.evidence.Run(running) })
--- a/internal/process/sidecar.go
+++ b/internal/process/sidecar.go
@@ -59,6 +59,7 @@
 	serve(&duties, peers, p.listener, failed)
 	duties.Go(func() { p.sidecar.Run(running) })
 	duties.Go(func() { p.recordConfigurations(running) })
+	duties.Go(func() { p.recordMembers(running) })
 	duties.Go(func() { p.peers.Run(running) })
 	p.events.Record(timeline.ProcessStarted, "", p.node.Addr)
 	select {
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -15,6 +15,7 @@
 
 	"github.com/zinniaquay/zinniaquay/internal/order"
 	"github.com/zinniaquay/zinniaquay/internal/platform"
+	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
 const (
@@ -175,6 +176,7 @@
 		_, ok, _ := o.guard.May(time.Now())
 		return ok
 	})
+	s.opts.Events.Record(timeline.TargetOrdered, "", fmt.Sprintf("%s %s under fencing number %d", t.Kind, t.Version, t.FencingNumber))
 	s.opts.Log.Info("order given", "kind", t.Kind, "version", t.Version, "fencing", t.FencingNumber, "err", fmt.Sprint(err))
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -82,7 +82,9 @@
 	wake   chan struct{}
 	runs   conc.WaitGroup
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// cold is what the time line says of the target.
+	cold     bool
 	gate     *capacity.Gate
 	counters *fairness.Counters
 	waiting  *reservations
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -14,6 +14,7 @@
 
 	"github.com/zinniaquay/zinniaquay/internal/capacity"
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
+	"github.com/zinniaquay/zinniaquay/internal/timeline"
 )
 
 const (
@@ -130,10 +131,26 @@
 	case isDial(err):
 		s.gate.ObserveRefused(now)
 	}
+	s.recordCold(now)
 	metrics.GetOrRegisterGauge("capacity_window_requests", s.opts.Metrics).Update(int64(s.gate.Window()))
 	metrics.GetOrRegisterGauge("capacity_running_requests", s.opts.Metrics).Update(int64(s.gate.Running()))
 }
 
+// recordCold puts a target that turned cold or warm on the time line. The caller
+// holds the lock.
+func (s *Sidecar) recordCold(now time.Time) {
+	cold := s.gate.Cold(now)
+	if cold == s.cold {
+		return
+	}
+	s.cold = cold
+	kind := timeline.TargetWarm
+	if cold {
+		kind = timeline.TargetCold
+	}
+	s.opts.Events.Record(kind, "", s.opts.Target)
+}
+
 // isDial reports whether no connection could be opened.
 func isDial(err error) bool {
 	var op *net.OpError
--- a/internal/timeline/kind.go
+++ b/internal/timeline/kind.go
@@ -9,14 +9,10 @@
 	ProcessStarted Kind = "process.started"
 	// ProcessDraining means that a graceful shutdown began.
 	ProcessDraining Kind = "process.draining"
-	// ProcessStopped means that a graceful shutdown ended.
-	ProcessStopped Kind = "process.stopped"
 	// RequestAccepted means that a router put a request in its account's queue.
 	RequestAccepted Kind = "request.accepted"
 	// RequestRefused means that a router refused a request.
 	RequestRefused Kind = "request.refused"
-	// RequestReserved means that a router placed reservations.
-	RequestReserved Kind = "request.reserved"
 	// RequestClaimed means that a router handed a request out to a sidecar.
 	RequestClaimed Kind = "request.claimed"
 	// RequestStarted means that a sidecar offered a request to its target.
@@ -58,8 +54,8 @@
 )
 
 var known = map[Kind]bool{
-	ProcessStarted: true, ProcessDraining: true, ProcessStopped: true,
-	RequestAccepted: true, RequestRefused: true, RequestReserved: true, RequestClaimed: true,
+	ProcessStarted: true, ProcessDraining: true,
+	RequestAccepted: true, RequestRefused: true, RequestClaimed: true,
 	RequestStarted: true, RequestResumed: true, RequestEnded: true, RequestCanceled: true, RequestTombstoned: true,
 	ConfigPatched: true, ConfigApplied: true,
 	PlatformLost: true, PlatformFound: true,
