Keep ports of processes under test apart

Two of five process tests that ran at once did not become ready in 30 s in one run of three. The log was not kept; ports taken in between (each was picked by listening at port 0, in the range of outgoing connections) are the presumed cause.

--- a/test/processfleet_test.go
+++ b/test/processfleet_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -70,15 +71,31 @@
 	fromRouters, toTarget *relay
 }
 
-// freeAddr returns an address on loopback that nothing listens at.
+// Ports for processes under test lie below those that the kernel gives to
+// outgoing connections, or one of these could take a port before its process
+// listens. Each run of the tests begins elsewhere.
+const (
+	firstPort = 10_000
+	portSpan  = 20_000
+)
+
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 97) }
+
+// freeAddr returns an address on loopback that nothing listens at, and that no
+// other test of this run gets.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portSpan {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portSpan)
+		if l, err := net.Listen("tcp", addr); err == nil {
+			_ = l.Close()
+			return addr
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 func newProcessFleet(t *testing.T, routers, targets int, perToken time.Duration) *processFleet {
