Read a move's declaration under the holder's lock

Cause: the race detector found the write of a record reading the declaration while a report replaced it. Also guards what the tests of whole paths and of frozen sidecars share between goroutines.

--- a/internal/evidence/fleet_test.go
+++ b/internal/evidence/fleet_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -116,7 +117,7 @@
 	// firstTokens holds the time to the first token of each answer.
 	firstTokens []time.Duration
 	// deaf processes pay no heed to the numbers on messages.
-	deaf bool
+	deaf atomic.Bool
 
 	sidecars map[string]*sidecar.Sidecar
 	// stops ends what runs under a name.
@@ -188,7 +189,7 @@
 	node := &rpc.Node{Token: "fleet", Addr: addr, Clock: &clock.Clock{}, ConfigurationNumber: store.Number, Dial: f.net.dial}
 	// A process that hears a higher number fetches it from where it heard it.
 	node.HeardHigher = func(_ context.Context, from string, _ uint64) error {
-		if f.deaf {
+		if f.deaf.Load() {
 			return nil
 		}
 		store.Apply(proto.CloneOf(f.stores[from].Current().Doc))
@@ -396,6 +397,14 @@
 	synctest.Test(t, test)
 }
 
+// forget drops what was counted so far.
+func (f *fleet) forget() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hits = map[string][]time.Time{}
+	f.firstTokens = nil
+}
+
 // shown returns when a bad version's targets were asked for the nth time.
 func (f *fleet) shown(n int) time.Time {
 	f.mu.Lock()
--- a/internal/evidence/holder.go
+++ b/internal/evidence/holder.go
@@ -206,24 +206,24 @@
 	progress := m.judge.Progress(fleet, missing, now)
 	h.mu.Unlock()
 	if m.keeper.Due(progress, now) {
-		h.commit(ctx, m, progress, now)
+		h.commit(ctx, m.keeper, d, progress, now)
 	}
 }
 
 // commit writes the record that follows and learns what the record says.
-func (h *Holder) commit(ctx context.Context, m *held, p move.Progress, now time.Time) {
-	before := m.keeper.Committed().GetState()
+func (h *Holder) commit(ctx context.Context, k *keeper.Keeper, d move.Declaration, p move.Progress, now time.Time) {
+	before := k.Committed().GetState()
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	if err := m.keeper.Commit(ctx, p, now); err != nil {
+	if err := k.Commit(ctx, p, now); err != nil {
 		metrics.GetOrRegisterCounter("move_commit_failures_total", h.opts.Metrics).Inc(1)
-		h.opts.Log.Info("record of a move not committed", "move", m.declaration.Name, "err", err.Error())
+		h.opts.Log.Info("record of a move not committed", "move", d.Name, "err", err.Error())
 	}
-	record := m.keeper.Committed()
-	if v := move.RecordVerdict(m.declaration, record); v != nil {
+	record := k.Committed()
+	if v := move.RecordVerdict(d, record); v != nil {
 		h.opts.Knowledge.Learn(v)
 	}
 	if state := record.GetState(); state != before {
-		h.event(true, m.declaration.Name, state+": "+record.GetReason())
+		h.event(true, d.Name, state+": "+record.GetReason())
 	}
 }
--- a/internal/evidence/path_test.go
+++ b/internal/evidence/path_test.go
@@ -86,7 +86,7 @@
 		is.Equal(f.state(), string(move.Done))
 		f.engines["new0"].SetFaults(target.Faults{FailShare: 1})
 		f.engines["new1"].SetFaults(target.Faults{FailShare: 1})
-		f.hits = map[string][]time.Time{}
+		f.forget()
 		f.traffic(50*time.Millisecond, 30*time.Second)
 		is.Equal(f.started("new", f.shown(50).Add(2*noMoreWorkWithin)), 0)
 		is.Equal(f.state(), string(move.TakenBack))
@@ -166,7 +166,7 @@
 		f.engines["new0"].SetFaults(target.Faults{FailShare: 1})
 		f.engines["new1"].SetFaults(target.Faults{FailShare: 1})
 		f.callers = left
-		f.hits = map[string][]time.Time{}
+		f.forget()
 		f.traffic(50*time.Millisecond, 40*time.Second)
 		is.Equal(f.started("new", f.shown(25).Add(noMoreWorkWithin)), 0)
 		is.Equal(f.state(), string(move.TakenBack))
--- a/internal/evidence/zone_test.go
+++ b/internal/evidence/zone_test.go
@@ -91,7 +91,7 @@
 				f.start(nil)
 				time.Sleep(time.Second)
 				f.traffic(20*time.Millisecond, time.Second)
-				f.deaf = true
+				f.deaf.Store(true)
 				f.apply(takeOut, f.addrs(informed)...)
 				accepted := time.Now()
 				statuses := f.traffic(20*time.Millisecond, 5*time.Second)
@@ -176,8 +176,10 @@
 
 // phase sends traffic for 30 seconds.
 func (f *fleet) phase() phase {
-	f.firstTokens = nil
+	f.forget()
 	answered := f.traffic(50*time.Millisecond, 30*time.Second)[http.StatusOK]
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	slices.Sort(f.firstTokens)
 	return phase{answered, f.firstTokens[len(f.firstTokens)*95/100]}
 }
@@ -193,7 +195,7 @@
 		})
 		time.Sleep(time.Second)
 		f.traffic(50*time.Millisecond, 20*time.Second) // all targets are warm
-		f.deaf = deaf
+		f.deaf.Store(deaf)
 		told := f.addrs("r0")
 		p.before = f.phase()
 		f.apply(takeOut, told...)
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -76,7 +76,9 @@
 					store.LapseLeases()
 				}
 				var lastOld time.Time
+				woken := make(chan struct{})
 				go func() {
+					defer close(woken)
 					time.Sleep(c.freeze)
 					for range 600 {
 						if old.may() { // woken, it does not renew
@@ -86,7 +88,7 @@
 					}
 				}()
 				first := next.firstOrder(t)
-				time.Sleep(2 * time.Minute)
+				<-woken
 				is.True(first.Sub(renewed) <= 2*(LeaseTTL+Longest)) // the new one does start
 				is.True(lastOld.IsZero() || !lastOld.Add(Longest).After(first))
 			})
