--- a/internal/peer/compare.go
+++ b/internal/peer/compare.go
@@ -6,6 +6,7 @@
 	"time"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
+	"github.com/zinniaquay/zinniaquay/internal/wait"
 )
 
 const (
@@ -24,12 +25,12 @@
 	differed := false
 	n.joinFleet(ctx)
 	// Processes that start together compare at different times.
-	if !pause(ctx, n.jittered(CompareInterval)) {
+	if !wait.For(ctx, n.jittered(CompareInterval)) {
 		return
 	}
 	for turn := 0; ; turn++ {
 		differed = n.compare(ctx, turn, differed)
-		if !pause(ctx, CompareInterval) {
+		if !wait.For(ctx, CompareInterval) {
 			return
 		}
 	}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -180,18 +180,6 @@
 	return d/2 + time.Duration(n.intN(int(d/2)+1))
 }
 
-// pause waits, and reports whether the context is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 type noVerdicts struct{}
 
 func (noVerdicts) Verdicts() []*zinniaquayv1.Verdict       { return nil }
--- a/internal/peer/start.go
+++ b/internal/peer/start.go
@@ -8,6 +8,7 @@
 	"github.com/sourcegraph/conc/iter"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
+	"github.com/zinniaquay/zinniaquay/internal/wait"
 )
 
 const (
@@ -39,7 +40,7 @@
 			want = MinStartPeers
 		}
 		n.askPeers(ctx, want)
-		if n.isStarted() || !pause(ctx, n.jittered(retry)) {
+		if n.isStarted() || !wait.For(ctx, n.jittered(retry)) {
 			return
 		}
 		retry = min(2*retry, maxStartRetry)
--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -6,6 +6,7 @@
 
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
 	"github.com/zinniaquay/zinniaquay/internal/platform"
+	"github.com/zinniaquay/zinniaquay/internal/wait"
 )
 
 const (
@@ -44,7 +45,7 @@
 	retry := minRetry
 	for ctx.Err() == nil {
 		if !n.watches() {
-			pause(ctx, n.jittered(minRetry))
+			wait.For(ctx, n.jittered(minRetry))
 			continue
 		}
 		entry, err := n.watchOnce(ctx, revision)
@@ -53,7 +54,7 @@
 		}
 		if err != nil {
 			n.platformFailed(err)
-			pause(ctx, n.jittered(retry))
+			wait.For(ctx, n.jittered(retry))
 			retry = min(2*retry, maxRetry)
 			continue
 		}
@@ -73,7 +74,7 @@
 // the whole fleet together reads it once in PollInterval. It finds what all
 // watchers miss.
 func (n *Node) pollLoop(ctx context.Context) {
-	for pause(ctx, n.jittered(PollInterval)+PollInterval/4) {
+	for wait.For(ctx, n.jittered(PollInterval)+PollInterval/4) {
 		if !n.hasJoined() || n.intN(n.Members.Size()) != 0 {
 			continue
 		}
@@ -116,7 +117,7 @@
 
 // hostsLoop is the duty of watchers that reads the platform's list of hosts.
 func (n *Node) hostsLoop(ctx context.Context) {
-	for pause(ctx, n.jittered(HostsInterval)+HostsInterval/4) {
+	for wait.For(ctx, n.jittered(HostsInterval)+HostsInterval/4) {
 		if n.watches() {
 			n.readHosts(ctx)
 		}
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -13,6 +13,7 @@
 	"github.com/zinniaquay/zinniaquay/internal/errkind"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
 	"github.com/zinniaquay/zinniaquay/internal/timeline"
+	"github.com/zinniaquay/zinniaquay/internal/wait"
 )
 
 const (
@@ -62,17 +63,7 @@
 		}
 		r.opts.Events.Record(timeline.RequestResumed, req.id, fmt.Sprintf("from chunk %d: %v", s.next, err))
 		metrics.GetOrRegisterCounter("answers_resumed_total", r.opts.Registry).Inc(1)
-		pause(ctx, resumeEvery)
-	}
-}
-
-// pause waits for a duration or until the context ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		wait.For(ctx, resumeEvery)
 	}
 }
 
@@ -202,7 +193,7 @@
 		if err == nil {
 			return res.GetOutcome() == zinniaquayv1.TombstoneResponse_never_started
 		}
-		pause(ctx, resumeEvery)
+		wait.For(ctx, resumeEvery)
 		if ctx.Err() != nil {
 			return false
 		}
@@ -220,7 +211,7 @@
 			r.releaser.add(h)
 			break
 		}
-		pause(ctx, resumeEvery)
+		wait.For(ctx, resumeEvery)
 		if ctx.Err() != nil {
 			r.opts.Log.Info("request not cancelled", "request", h.handoutID, "err", err.Error())
 			break
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -21,6 +21,7 @@
 	"github.com/zinniaquay/zinniaquay/internal/retry"
 	"github.com/zinniaquay/zinniaquay/internal/rpc"
 	"github.com/zinniaquay/zinniaquay/internal/timeline"
+	"github.com/zinniaquay/zinniaquay/internal/wait"
 )
 
 const (
@@ -123,7 +124,7 @@
 	r.mu.Lock()
 	r.leaving = true
 	r.mu.Unlock()
-	pause(ctx, r.opts.BalancerLag)
+	wait.For(ctx, r.opts.BalancerLag)
 	r.mu.Lock()
 	r.draining = true
 	r.mu.Unlock()
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -8,6 +8,7 @@
 	"github.com/zinniaquay/zinniaquay/internal/configstore"
 	"github.com/zinniaquay/zinniaquay/internal/errkind"
 	"github.com/zinniaquay/zinniaquay/internal/retry"
+	"github.com/zinniaquay/zinniaquay/internal/wait"
 )
 
 // serve queues a request, waits for a sidecar and relays the answer.
@@ -39,7 +40,7 @@
 			r.finish(req)
 			return err
 		}
-		pause(running, retry.Pause(req.handouts))
+		wait.For(running, retry.Pause(req.handouts))
 		if running.Err() != nil {
 			r.finish(req)
 			return err
--- a/internal/sidecar/transfer.go
+++ b/internal/sidecar/transfer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
+	"github.com/zinniaquay/zinniaquay/internal/wait"
 )
 
 const (
@@ -130,7 +131,7 @@
 		return true
 	}
 	t.broken++
-	pause(t.ctx, resumeEvery)
+	wait.For(t.ctx, resumeEvery)
 	return t.broken <= maxBroken
 }
 
@@ -143,7 +144,7 @@
 		if err == nil || errors.Is(err, errStreamGone) || t.ctx.Err() != nil || time.Now().After(until) {
 			return res, err
 		}
-		pause(t.ctx, resumeEvery)
+		wait.For(t.ctx, resumeEvery)
 	}
 }
 
@@ -209,13 +210,3 @@
 		_ = res.Body.Close()
 	}
 }
-
-// pause waits for a duration or until the context ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
