--- a/internal/process/base.go
+++ b/internal/process/base.go
@@ -43,7 +43,7 @@
 
 // base is what routers and sidecars have in common.
 type base struct {
-	settings    *zinniaquayv1.ProcessSettings
+	common      *zinniaquayv1.ProcessSettings
 	log         logr.Logger
 	registry    metrics.Registry
 	clock       *clock.Clock
@@ -75,7 +75,7 @@
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
 	b := &base{
-		settings:    s,
+		common:      s,
 		log:         log,
 		registry:    metrics.NewRegistry(),
 		clock:       &clock.Clock{},
@@ -106,10 +106,10 @@
 // member returns the process as its peers see it.
 func (b *base) member(role zinniaquayv1.Member_Role, target string) *zinniaquayv1.Member {
 	return &zinniaquayv1.Member{
-		Name:        b.settings.GetName(),
+		Name:        b.common.GetName(),
 		Addr:        b.node.Addr,
 		Role:        role,
-		Zone:        b.settings.GetZone(),
+		Zone:        b.common.GetZone(),
 		Incarnation: b.incarnation,
 		Target:      target,
 	}
--- a/internal/process/moves.go
+++ b/internal/process/moves.go
@@ -19,7 +19,7 @@
 // newEvidenceHolder returns the holder of evidence on moves.
 func (p *Router) newEvidenceHolder() *evidence.Holder {
 	return evidence.NewHolder(evidence.HolderOptions{
-		Name:        p.base.settings.GetName(),
+		Name:        p.common.GetName(),
 		Incarnation: p.incarnation,
 		Store:       p.store,
 		Knowledge:   p.knowledge,
--- a/internal/process/operator.go
+++ b/internal/process/operator.go
@@ -58,7 +58,7 @@
 // Processes implements report.Source.
 func (f *fleet) Processes() []report.Process {
 	list := []report.Process{{
-		Name:   f.base.settings.GetName(),
+		Name:   f.base.common.GetName(),
 		Status: func(context.Context) (*zinniaquayv1.StatusResponse, error) { return f.status(), nil },
 	}}
 	for _, p := range f.peers() {
@@ -71,7 +71,7 @@
 
 // sources returns the processes that can be asked for their events.
 func (f *fleet) sources() []timeline.Source {
-	list := []timeline.Source{{Process: f.base.settings.GetName(), Events: f.base.events.Events}}
+	list := []timeline.Source{{Process: f.base.common.GetName(), Events: f.base.events.Events}}
 	for _, p := range f.peers() {
 		list = append(list, timeline.Source{Process: p.name, Events: func(ctx context.Context, req *zinniaquayv1.EventsRequest) (*zinniaquayv1.EventsResponse, error) {
 			return f.base.pool.Get(p.addr).Peer.Events(ctx, req)
--- a/internal/process/peers.go
+++ b/internal/process/peers.go
@@ -22,7 +22,7 @@
 		Platform: b.platform,
 		Caller:   &peerCaller{pool: b.pool},
 		Verdicts: b.knowledge,
-		Seeds:    b.settings.GetSeedAddrs(),
+		Seeds:    b.common.GetSeedAddrs(),
 		Log:      b.log,
 		Metrics:  b.registry,
 	})
--- a/internal/process/record.go
+++ b/internal/process/record.go
@@ -33,7 +33,7 @@
 		changed := b.members.Changed()
 		for _, m := range b.members.All() {
 			state, ok := known[m.GetName()]
-			if m.GetName() == b.settings.GetName() || ok && state == m.GetState() {
+			if m.GetName() == b.common.GetName() || ok && state == m.GetState() {
 				continue
 			}
 			known[m.GetName()] = m.GetState()
