Read a body over the limit to its end before refusing it

The HTTP server closes a connection whose body was not read half a second after its answer; a caller that has not read the answer by then loses it to the reset. Ruled out: the read timeout, whose answer has another kind. Change: up to 1 MiB over the limit is read and thrown away. The new test fails without that and passes with it. A caller who sends more still may see a reset.

--- /dev/null
+++ b/internal/router/body_test.go
@@ -0,0 +1,31 @@
+package router
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/zinniaquay/zinniaquay/internal/errkind"
+)
+
+// A connection that closes with bytes unread is reset, and the caller may never
+// see the refusal.
+func TestABodyOverTheLimitIsReadToItsEnd(t *testing.T) {
+	is := is.New(t)
+	r := New(Options{MaxBodyBytes: 100})
+	body := strings.NewReader(strings.Repeat("x", 5000))
+	_, err := r.readBody(httptest.NewRequest(http.MethodPost, "/", body))
+	is.Equal(errkind.Of(err), errkind.TooLarge)
+	is.Equal(body.Len(), 0)
+}
+
+func TestABodyOfTheLimitIsTaken(t *testing.T) {
+	is := is.New(t)
+	r := New(Options{MaxBodyBytes: 100})
+	body, err := r.readBody(httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", 100))))
+	is.NoErr(err)
+	is.Equal(len(body), 100)
+}
--- a/internal/router/caller.go
+++ b/internal/router/caller.go
@@ -28,6 +28,8 @@
 	// costHintHeader carries a caller's rough guess of the cost, in tokens or
 	// units.
 	costHintHeader = "X-Cost-Hint"
+	// overrunBytes is how much of a body over the limit is read and thrown away.
+	overrunBytes = 1 << 20
 	// chatPath is the path of model requests, here and at targets.
 	chatPath = "/v1/chat/completions"
 	// servicesPath is the prefix of requests to plain services.
@@ -105,7 +107,7 @@
 	if err != nil {
 		return err
 	}
-	body, err := r.readBody(w, req)
+	body, err := r.readBody(req)
 	if err != nil {
 		return err
 	}
@@ -135,7 +137,7 @@
 	if !ok || service.GetKind() != zinniaquayv1.Service_plain {
 		return errkind.New(errkind.UnknownService, "there is no plain service %q", name)
 	}
-	body, err := r.readBody(w, req)
+	body, err := r.readBody(req)
 	if err != nil {
 		return err
 	}
@@ -197,14 +199,16 @@
 }
 
 // readBody reads a caller's body up to the limit.
-func (r *Router) readBody(w http.ResponseWriter, req *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, r.opts.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
+func (r *Router) readBody(req *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(req.Body, r.opts.MaxBodyBytes+1))
 	switch {
-	case errors.As(err, &tooLarge):
-		return nil, errkind.New(errkind.TooLarge, "the body is over %d bytes", r.opts.MaxBodyBytes)
 	case err != nil:
 		return nil, errkind.Wrap(errkind.Malformed, err, "the body broke off")
+	case int64(len(body)) > r.opts.MaxBodyBytes:
+		// A connection that closes with bytes unread is reset, and the caller may
+		// never see why. What is longer still is left.
+		_, _ = io.CopyN(io.Discard, req.Body, overrunBytes)
+		return nil, errkind.New(errkind.TooLarge, "the body is over %d bytes", r.opts.MaxBodyBytes)
 	}
 	return body, nil
 }
