--- a/internal/idempotency/settle.go
+++ b/internal/idempotency/settle.go
@@ -8,7 +8,6 @@
 	"github.com/sourcegraph/conc"
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
-	"github.com/zinniaquay/zinniaquay/internal/errkind"
 )
 
 const (
@@ -170,7 +169,3 @@
 	record.Answer = s.answer
 	return true
 }
-
-// IsUnavailable reports whether an error means that the key-value service gave
-// no answer.
-func IsUnavailable(err error) bool { return errkind.Of(err) == errkind.PlatformUnavailable }
