Bound the bytes of requests that a router holds

Cause: queues were bounded by count alone. 8,192 waiting requests take 224 MB by the measured 27 KB each, which with the rest is over the 256 MB of a process, and bodies of 4 MiB could take far more. Change: 4,096 requests and 48 MiB of bodies in all, 12 MiB for one account; an account that holds little always fits, so that large bodies of a few keep nobody out. Worked out: 242 MB with all bounds reached.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,7 +28,7 @@
 	// defaultMaxWaiting bounds the waiting requests of one client account.
 	defaultMaxWaiting = 256
 	// defaultMaxWaitingInAll bounds the waiting requests of all accounts.
-	defaultMaxWaitingInAll = 8192
+	defaultMaxWaitingInAll = 4096
 	// defaultTimeout is the longest time that a request may take.
 	defaultTimeout = 120 * time.Second
 	// defaultUnits are charged for a request to a plain service.
@@ -56,7 +56,7 @@
 	// BalancerLag is how long a router that shuts down, unready already, still
 	// takes requests, so that the balancer can leave it out first. Default none.
 	BalancerLag time.Duration
-	// MaxWaiting bounds the waiting requests of all accounts. Default 8192.
+	// MaxWaiting bounds the waiting requests of all accounts. Default 4096.
 	MaxWaiting int
 	// Versions chooses versions while traffic moves. Without it every request
 	// goes to its service's declared version.
@@ -79,6 +79,7 @@
 	retries *retry.Budget
 	queues  *queues
 	claims  claimTimes
+	held    *holdings
 	running int
 	// leaving says that the router is unready, and draining that it takes no
 	// requests.
@@ -94,7 +95,7 @@
 	if o.MaxWaiting <= 0 {
 		o.MaxWaiting = defaultMaxWaitingInAll
 	}
-	r := &Router{opts: o, queues: newQueues(), claims: make(claimTimes), retries: retry.NewBudget(time.Now()), refusals: newRefusals(o.Registry)}
+	r := &Router{opts: o, queues: newQueues(), claims: make(claimTimes), held: newHoldings(), retries: retry.NewBudget(time.Now()), refusals: newRefusals(o.Registry)}
 	r.placer = newPlacer(r)
 	r.releaser = newReleaser(o)
 	if o.KV != nil {
@@ -184,9 +185,13 @@
 	if err := r.mayEnqueue(req.account, snap); err != nil {
 		return err
 	}
+	if !r.held.fits(req.account, len(req.work.GetBody())) {
+		return errkind.New(errkind.QueueFull, "this router holds too many bytes of requests already")
+	}
 	if r.queues.len() >= r.opts.MaxWaiting {
 		r.evict(r.queues.crowding())
 	}
+	r.held.take(req.account, len(req.work.GetBody()))
 	now := time.Now()
 	r.retries.Request(now)
 	req.queuedAt = now
@@ -197,6 +202,13 @@
 	return nil
 }
 
+// release gives back what a request that was queued held, when it has ended.
+func (r *Router) release(req *request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held.give(req.account, len(req.work.GetBody()))
+}
+
 // mayEnqueue returns why a request of an account may not wait here, if it may
 // not. The caller holds the lock.
 func (r *Router) mayEnqueue(account string, snap *configstore.Snapshot) error {
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -30,6 +30,7 @@
 	if err := r.enqueue(req, snap); err != nil {
 		return err
 	}
+	defer r.release(req)
 	for {
 		h, err := r.wait(waiting, req)
 		if err != nil {
