--- a/bench/capacity/main.go
+++ b/bench/capacity/main.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -41,6 +42,9 @@
 
 // measure makes the measurements and writes the table.
 func measure(ctx context.Context, page, only string) error {
+	if page != "" && only != "" {
+		return errors.New("-write replaces the whole table and needs all measurements: leave -only out")
+	}
 	var slopes []slope
 	for _, m := range measurements {
 		if only != "" && m.name != only {
