Meet the short read timeout only where callers are slow on purpose

The test's fleet had a read timeout of 300 ms for all cases; on a loaded machine 4 MiB take longer, the router refuses a slow body with the rest of it unread, and the connection is reset. Change: cases that are not about slowness meet the default timeout, in a fleet of their own, and a second stream runs beside the slow ones. Checks are the same.

--- a/internal/demo/badinput_test.go
+++ b/internal/demo/badinput_test.go
@@ -81,33 +81,38 @@
 		"Authorization: Bearer demo-obec-rajec\r\nContent-Length: %d\r\n\r\n%s", length, body)
 }
 
-// TestBadInputGetsAClearErrorAndDisturbsNobody sends bad input while another
-// caller's stream runs.
+// TestBadInputGetsAClearErrorAndDisturbsNobody sends bad input while other
+// callers' streams run.
 func TestBadInputGetsAClearErrorAndDisturbsNobody(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	f := run(t, Options{ReadTimeout: shortRead})
-	sound := make(chan error, 1)
-	go func() { sound <- streamWhole(f, "demo-mesto-zilina", 200) }()
+	// Only those who are slow on purpose meet the short timeout: on a loaded
+	// machine 4 MiB may take longer.
+	patient, hasty := run(t, Options{}), run(t, Options{ReadTimeout: shortRead})
+	sound := make(chan error, 2)
+	for _, f := range []*Fleet{patient, hasty} {
+		go func() { sound <- streamWhole(f, "demo-mesto-zilina", 200) }()
+	}
 
 	huge := `{"model":"clerk-chat","messages":[{"role":"user","content":"` + strings.Repeat("x", maxBodyBytes) + `"}]}`
 	tables := []struct {
 		name, text string
+		fleet      *Fleet
 		closeWrite bool
 		status     int
 		kind       errkind.Kind
 	}{
-		{"malformed JSON", post(9, `{"model":`), false, 400, errkind.Malformed},
-		{"JSON of another shape", post(13, `{"model":[1]}`), false, 400, errkind.Malformed},
-		{"oversized JSON", post(len(huge), huge), false, 413, errkind.TooLarge},
-		{"body cut half way", post(100, `{"model":"clerk-chat"`), true, 400, errkind.Malformed},
-		{"slow body", post(100, `{"model":"clerk-chat"`), false, 400, errkind.Malformed},
-		{"unknown model", post(21, `{"model":"elsewhere"}`), false, 404, errkind.UnknownService},
+		{"malformed JSON", post(9, `{"model":`), patient, false, 400, errkind.Malformed},
+		{"JSON of another shape", post(13, `{"model":[1]}`), patient, false, 400, errkind.Malformed},
+		{"oversized JSON", post(len(huge), huge), patient, false, 413, errkind.TooLarge},
+		{"body cut half way", post(100, `{"model":"clerk-chat"`), patient, true, 400, errkind.Malformed},
+		{"slow body", post(100, `{"model":"clerk-chat"`), hasty, false, 400, errkind.Malformed},
+		{"unknown model", post(21, `{"model":"elsewhere"}`), patient, false, 404, errkind.UnknownService},
 	}
 	for _, table := range tables {
 		t.Run(table.name, func(t *testing.T) {
 			is := is.New(t)
-			status, refusal := refusalIn(t, raw(t, f, table.text, table.closeWrite))
+			status, refusal := refusalIn(t, raw(t, table.fleet, table.text, table.closeWrite))
 			is.Equal(status, table.status)
 			is.Equal(refusal.Kind, table.kind)
 			is.True(refusal.NotRun)
@@ -116,10 +121,11 @@
 	t.Run("slow headers", func(t *testing.T) {
 		// No request has begun, so the connection ends without an answer or with
 		// that of the HTTP server.
-		answer := raw(t, f, "POST /v1/chat/completions HTTP/1.1\r\nHost: fl", false)
+		answer := raw(t, hasty, "POST /v1/chat/completions HTTP/1.1\r\nHost: fl", false)
 		is.New(t).True(!strings.Contains(answer, " 200 "))
 	})
 	is.NoErr(<-sound)
+	is.NoErr(<-sound)
 }
 
 // streamWhole asks for a stream and compares every byte of the answer.
