--- /dev/null
+++ b/cmd/zinniaquay/gateway.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+	"github.com/spf13/cobra"
+
+	"github.com/zinniaquay/zinniaquay/internal/gateway"
+	"github.com/zinniaquay/zinniaquay/internal/telemetry"
+	"github.com/zinniaquay/zinniaquay/platform"
+)
+
+// newGateway returns the command that runs a gateway on the users' platform.
+func newGateway() *cobra.Command {
+	var path, level string
+	cmd := &cobra.Command{
+		Use:   "gateway",
+		Short: "Run a router on the users' platform, straight before its targets",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if path == "" {
+				path = os.Getenv(platform.SettingsVariable)
+			}
+			if path == "" {
+				return usage(fmt.Errorf("no settings file: give --settings or set %s", platform.SettingsVariable))
+			}
+			s, err := platform.LoadSettings(path)
+			if err != nil {
+				return err
+			}
+			registry := metrics.NewRegistry()
+			out := telemetry.NewBounded(cmd.OutOrStdout(), registry)
+			defer out.Close()
+			log, err := telemetry.NewLogger(out, level, s.Name)
+			if err != nil {
+				return usage(err)
+			}
+			p := gateway.NewProcess(s, platform.NewStore(s.StoreAddr), platform.Documents{}, platform.Headers{}, registry, log)
+			stopNotify := logReloads(log)
+			defer stopNotify()
+			ctx, stop := untilSignal(cmd)
+			defer stop()
+			return p.Run(ctx)
+		},
+	}
+	cmd.Flags().StringVarP(&path, "settings", "s", "", "the platform's settings file; by default the one that "+
+		platform.SettingsVariable+" names")
+	cmd.Flags().StringVar(&level, "log-level", "info", "debug, info or error")
+	return cmd
+}
+
+// logReloads notes each SIGHUP. All that the settings file holds is fixed for
+// the life of a process, so that there is nothing to take over.
+func logReloads(log logr.Logger) (stop func()) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-hangups:
+				log.Info("settings reloaded", "changed", false)
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(hangups)
+		close(done)
+	}
+}
--- a/cmd/zinniaquay/root.go
+++ b/cmd/zinniaquay/root.go
@@ -58,7 +58,7 @@
 		Args:          cobra.NoArgs,
 		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
-	root.AddCommand(newRouter(), newSidecar(), newStatus(), newReport(), newTimeline(), newConfig(), newCheck(),
+	root.AddCommand(newRouter(), newGateway(), newSidecar(), newStatus(), newReport(), newTimeline(), newConfig(), newCheck(),
 		newDemo(), newStandin(), newVersion())
 	markUsage(root)
 	return root
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,414 @@
+// Package directory keeps a process's view of the deployment in step with the
+// platform's store: one watch, a periodic check that the watch is not deaf, and
+// a full read where history is missing. It also registers the process itself.
+package directory
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/zinniaquay/zinniaquay/internal/catalog"
+	"github.com/zinniaquay/zinniaquay/internal/clock"
+	"github.com/zinniaquay/zinniaquay/internal/platform"
+	"github.com/zinniaquay/zinniaquay/internal/telemetry"
+	"github.com/zinniaquay/zinniaquay/internal/wait"
+)
+
+// Times of the duties.
+const (
+	// watchWait is how long one watch waits; a waiting watch is one call.
+	watchWait = 20 * time.Second
+	// checkEvery is the pause between two checks of the watch. It is half of the
+	// shortest bound on new work at a leaving target.
+	checkEvery = time.Second
+	// catchUp is how long a watch may lag behind a check before it counts as
+	// deaf.
+	catchUp = 300 * time.Millisecond
+	// retryPause is the pause after a failed call.
+	retryPause = 150 * time.Millisecond
+	// returnGrace is how long entries that lapsed in an outage of the store may
+	// take to come back.
+	returnGrace = 2 * time.Second
+	// outageAfter is the time without a good call after which the store counts
+	// as away.
+	outageAfter = time.Second
+)
+
+// Layout names the parts of the store that a process follows.
+type Layout struct {
+	// Operator is the prefix of what the operator writes, and LargeItem the
+	// first of its keys, which a cheap check passes over.
+	Operator, LargeItem string
+	// Member returns the key of a process, Status that of a service's move.
+	Member func(name string) string
+	Status func(service string) string
+}
+
+// Decoder turns items of the store into a view.
+type Decoder interface {
+	Layout() Layout
+	// Decode enters one item into a view. An item that can't be read leaves
+	// the view without it and is an error.
+	Decode(view *catalog.View, item platform.Item, now time.Time) error
+	EncodeMember(m catalog.Member) ([]byte, error)
+	EncodeStatus(service, to string, state catalog.MoveState) ([]byte, error)
+}
+
+// Directory is the view of one process. It is safe for concurrent use.
+type Directory struct {
+	store   platform.Store
+	decoder Decoder
+	layout  Layout
+	log     logr.Logger
+	calls   metrics.Counter
+	failed  metrics.Counter
+
+	view atomic.Pointer[catalog.View]
+	// confirmed is the moment, by clock.Boot, for which the view is known to be
+	// the newest; 0 until the first.
+	confirmed atomic.Int64
+	changed   func(*catalog.View)
+
+	// mu guards what follows.
+	mu sync.Mutex
+	// applied is the revision up to which all changes are in the view.
+	applied int64
+	// moved is closed and replaced when applied rises.
+	moved chan struct{}
+	// lapsed holds deletions that wait for their grace, by key.
+	lapsed map[string]time.Time
+	// lastGood is when a call last succeeded, and returned when the store last
+	// came back after an outage.
+	lastGood, returned time.Time
+	away               bool
+	// unreadable holds the revisions of items that were reported as unreadable.
+	unreadable map[string]int64
+	resync     chan struct{}
+}
+
+// New returns a directory with an empty view. Changed is called with each new
+// view, one call at a time.
+func New(store platform.Store, decoder Decoder, changed func(*catalog.View), registry metrics.Registry, log logr.Logger) *Directory {
+	d := &Directory{
+		store: store, decoder: decoder, layout: decoder.Layout(), changed: changed, log: log,
+		calls:      metrics.GetOrRegisterCounter(telemetry.Name("store_calls_total"), registry),
+		failed:     metrics.GetOrRegisterCounter(telemetry.Name("store_calls_failed_total"), registry),
+		moved:      make(chan struct{}),
+		lapsed:     make(map[string]time.Time),
+		unreadable: make(map[string]int64),
+		resync:     make(chan struct{}, 1),
+	}
+	d.view.Store(emptyView())
+	return d
+}
+
+func emptyView() *catalog.View {
+	return &catalog.View{
+		Targets: map[string]*catalog.Target{}, ZonesOut: map[string]bool{},
+		Moves: map[string]*catalog.MoveOrder{}, Statuses: map[string]catalog.MoveStatus{},
+		Members: map[string]catalog.Member{},
+	}
+}
+
+// copyView returns a view whose maps can be changed.
+func copyView(v *catalog.View) *catalog.View {
+	return &catalog.View{
+		Config: v.Config, Targets: maps.Clone(v.Targets), ZonesOut: maps.Clone(v.ZonesOut),
+		Moves: maps.Clone(v.Moves), Statuses: maps.Clone(v.Statuses), Members: maps.Clone(v.Members),
+	}
+}
+
+// View returns the present view, which must not be changed.
+func (d *Directory) View() *catalog.View { return d.view.Load() }
+
+// Age returns how old the knowledge is that the view was the newest. Time in
+// which the host was suspended counts. It reports false if there is none yet.
+func (d *Directory) Age() (time.Duration, bool) {
+	at := d.confirmed.Load()
+	if at == 0 {
+		return 0, false
+	}
+	return clock.Boot() - time.Duration(at), true
+}
+
+// Follow keeps the view in step until the context ends.
+func (d *Directory) Follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := d.read(ctx); err != nil {
+			wait.For(ctx, retryPause)
+			continue
+		}
+		d.watch(ctx)
+	}
+}
+
+// read replaces the view by all items of the store.
+func (d *Directory) read(ctx context.Context) error {
+	sent := clock.Boot()
+	items, at, err := d.store.Range(ctx, "", "")
+	d.note(err)
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.view.Load()
+	view := emptyView()
+	view.Config = old.Config
+	maps.Copy(view.Moves, old.Moves)
+	now := time.Now()
+	present := make(map[string]bool, len(items))
+	for _, item := range items {
+		present[item.Key] = true
+		d.enter(view, item, now)
+	}
+	for service := range old.Moves {
+		if !d.hasMove(items, service) {
+			delete(view.Moves, service)
+		}
+	}
+	d.keepKnown(old, view)
+	d.keepLapsed(old, view, now)
+	d.publish(view, at)
+	d.confirm(sent)
+	d.log.Info("view read", "items", len(items), "revision", at, "configuration", versionOf(view))
+	return nil
+}
+
+// hasMove reports whether the order of a service's move is among the items.
+func (d *Directory) hasMove(items []platform.Item, service string) bool {
+	for _, item := range items {
+		if strings.HasPrefix(item.Key, d.layout.Operator) && strings.HasSuffix(item.Key, "/"+service) {
+			return true
+		}
+	}
+	return false
+}
+
+// keepKnown keeps targets whose entries did not change, since the time that a
+// cold one has left counts from when its entry was first seen.
+func (d *Directory) keepKnown(old, view *catalog.View) {
+	for id, target := range old.Targets {
+		if t := view.Targets[id]; t != nil && t.Revision == target.Revision {
+			view.Targets[id] = target
+		}
+	}
+}
+
+// keepLapsed keeps targets that are missing while the store has only just come
+// back.
+func (d *Directory) keepLapsed(old, view *catalog.View, now time.Time) {
+	if now.Sub(d.returned) >= returnGrace {
+		return
+	}
+	for id, target := range old.Targets {
+		if _, ok := view.Targets[id]; !ok && !target.Leaving {
+			view.Targets[id] = target
+			d.lapsed[id] = d.returned.Add(returnGrace)
+		}
+	}
+}
+
+// watch follows changes until history is missing or the check finds the watch
+// deaf.
+func (d *Directory) watch(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-d.resync:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	for ctx.Err() == nil {
+		d.mu.Lock()
+		after := d.applied
+		d.mu.Unlock()
+		change, err := d.store.Watch(ctx, "", after, watchWait)
+		if ctx.Err() != nil {
+			return
+		}
+		d.note(err)
+		if errors.Is(err, platform.ErrCompacted) {
+			d.log.Info("history is gone", "after", after)
+			return
+		}
+		if err != nil {
+			if !wait.For(ctx, retryPause) {
+				return
+			}
+			continue
+		}
+		d.apply(change)
+	}
+}
+
+// apply enters the changes of a watch.
+func (d *Directory) apply(change platform.Change) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	view, now := copyView(d.view.Load()), time.Now()
+	for _, item := range change.Items {
+		if item.Deleted && d.deferred(item, view, now) {
+			continue
+		}
+		d.enter(view, item, now)
+	}
+	d.publish(view, change.At)
+}
+
+// deferred puts off the deletion of a target's entry that may have lapsed in an
+// outage.
+func (d *Directory) deferred(item platform.Item, view *catalog.View, now time.Time) bool {
+	if !d.away && now.Sub(d.returned) >= returnGrace {
+		return false
+	}
+	for id, target := range view.Targets {
+		if strings.HasSuffix(item.Key, "/"+id) && !target.Leaving {
+			d.lapsed[id] = now.Add(returnGrace)
+			return true
+		}
+	}
+	return false
+}
+
+// enter decodes one item. An unreadable one is logged once a revision.
+func (d *Directory) enter(view *catalog.View, item platform.Item, now time.Time) {
+	err := d.decoder.Decode(view, item, now)
+	if err != nil && d.unreadable[item.Key] != item.Revision {
+		d.unreadable[item.Key] = item.Revision
+		d.log.Error(err, "item skipped", "key", item.Key, "revision", item.Revision)
+	}
+}
+
+// publish makes a view the present one. The caller holds the lock.
+func (d *Directory) publish(view *catalog.View, at int64) {
+	now := time.Now()
+	for id, until := range d.lapsed {
+		if now.After(until) {
+			delete(d.lapsed, id)
+		}
+	}
+	if at > d.applied {
+		d.applied = at
+		close(d.moved)
+		d.moved = make(chan struct{})
+	}
+	d.logChanges(d.view.Load(), view)
+	d.view.Store(view)
+	d.changed(view)
+}
+
+// expire removes targets whose entries did not come back after an outage.
+func (d *Directory) expire() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	var gone []string
+	for id, until := range d.lapsed {
+		if now.After(until) {
+			gone = append(gone, id)
+		}
+	}
+	if len(gone) == 0 {
+		return
+	}
+	view := copyView(d.view.Load())
+	for _, id := range gone {
+		delete(view.Targets, id)
+	}
+	d.publish(view, d.applied)
+}
+
+// confirm notes that the view is the newest as of a moment.
+func (d *Directory) confirm(sent time.Duration) {
+	for {
+		old := d.confirmed.Load()
+		if int64(sent) <= old || d.confirmed.CompareAndSwap(old, int64(sent)) {
+			return
+		}
+	}
+}
+
+// note keeps track of whether the store answers.
+func (d *Directory) note(err error) {
+	d.calls.Inc(1)
+	reachable := err == nil || errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrConflict) ||
+		errors.Is(err, platform.ErrLeaseEnded)
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !reachable {
+		d.failed.Inc(1)
+		if !d.away && now.Sub(d.lastGood) > outageAfter {
+			d.away = true
+			d.log.Error(err, "store lost", "silent_ms", now.Sub(d.lastGood).Milliseconds())
+		}
+		return
+	}
+	if d.away {
+		d.away, d.returned = false, now
+		d.log.Info("store regained", "away_ms", now.Sub(d.lastGood).Milliseconds())
+	}
+	d.lastGood = now
+}
+
+// Check confirms the view again and again until the context ends: a silent
+// watch proves nothing, but an answer that names the store's revision does.
+func (d *Directory) Check(ctx context.Context) {
+	for wait.For(ctx, checkEvery) {
+		d.expire()
+		sent := clock.Boot()
+		_, at, err := d.store.Range(ctx, d.layout.Operator, d.layout.LargeItem)
+		d.note(err)
+		if err != nil {
+			continue
+		}
+		if d.reached(ctx, at) {
+			d.confirm(sent)
+			continue
+		}
+		d.log.Info("watch is behind", "revision", at)
+		select {
+		case d.resync <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// reached waits a little until the view holds all changes up to a revision.
+func (d *Directory) reached(ctx context.Context, at int64) bool {
+	timer := time.NewTimer(catchUp)
+	defer timer.Stop()
+	for {
+		d.mu.Lock()
+		applied, moved := d.applied, d.moved
+		d.mu.Unlock()
+		if applied >= at {
+			return true
+		}
+		select {
+		case <-moved:
+		case <-timer.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func versionOf(v *catalog.View) int64 {
+	if v.Config == nil {
+		return 0
+	}
+	return v.Config.Version
+}
--- /dev/null
+++ b/internal/dispatch/cache.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import "container/list"
+
+// keptParts is the belief which parts of prompts a target's engine keeps: the
+// ones that were sent there most recently, as far as its memory goes. Engines
+// give up the least recently used parts first.
+type keptParts struct {
+	capacity int
+	tokens   int
+	order    *list.List
+	byKey    map[uint64]*list.Element
+}
+
+// keptPart is one entry.
+type keptPart struct {
+	key    uint64
+	tokens int
+}
+
+func newKeptParts(capacity int) *keptParts {
+	return &keptParts{capacity: capacity, order: list.New(), byKey: make(map[uint64]*list.Element)}
+}
+
+// kept returns the number of leading tokens of a prompt that are believed to be
+// kept: a part counts only if all parts before it do.
+func (k *keptParts) kept(parts []Part) int {
+	tokens := 0
+	for _, p := range parts {
+		if _, ok := k.byKey[p.Key]; !ok {
+			break
+		}
+		tokens += p.Tokens
+	}
+	return tokens
+}
+
+// use notes that a prompt was sent.
+func (k *keptParts) use(parts []Part) {
+	for _, p := range parts {
+		if e, ok := k.byKey[p.Key]; ok {
+			k.order.MoveToFront(e)
+			continue
+		}
+		k.byKey[p.Key] = k.order.PushFront(keptPart{p.Key, p.Tokens})
+		k.tokens += p.Tokens
+	}
+	for k.tokens > k.capacity && k.order.Len() > 0 {
+		last := k.order.Back()
+		part := k.order.Remove(last).(keptPart)
+		delete(k.byKey, part.key)
+		k.tokens -= part.tokens
+	}
+}
--- /dev/null
+++ b/internal/dispatch/choose.go
@@ -0,0 +1,167 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+// candidate is a target for a request, with what is predicted there.
+type candidate struct {
+	target *target
+	// ok says that the target has room now.
+	ok bool
+	// kept is the number of prompt tokens believed to be kept there.
+	kept int
+	// wait is the time that prompts sent before need, and first that to the
+	// request's first token.
+	wait, first time.Duration
+	// cost orders candidates.
+	cost float64
+}
+
+// Weights of the choice, in ms of an engine's time.
+const (
+	// rereadWeight is how often the time of reading a prompt counts: once for
+	// the request itself and once for those that wait behind it.
+	rereadWeight = 2.0
+	// crowdCost is what a full engine costs beside an empty one: each token of
+	// its answers takes longer.
+	crowdCost = 60.0
+	// badCost is what a target costs whose answers all fail.
+	badCost = 2000.0
+	// zoneCost is what a target in another zone costs: the way there and back.
+	zoneCost = 2.0
+	// mostWait is the time that prompts may wait inside an engine, which admits
+	// by arrival: enough to keep it busy between two answers.
+	mostWait = 120.0
+	// memoryShare is the part of an engine's memory that running requests may
+	// fill; beyond it the engine interrupts the newest.
+	memoryShare = 0.9
+)
+
+// choose returns the cheapest target for a request. It reports false if none
+// may serve it at all.
+func (d *Dispatcher) choose(r *Request, now time.Time) (candidate, bool) {
+	best, some := candidate{cost: math.Inf(1)}, false
+	for _, t := range d.services[r.Service] {
+		if !d.may(r, t, now) {
+			continue
+		}
+		c := d.candidate(r, t, now)
+		if !some || c.cost < best.cost {
+			best, some = c, true
+		}
+	}
+	return best, some
+}
+
+// may reports whether a target may get a request, whatever its load.
+func (d *Dispatcher) may(r *Request, t *target, now time.Time) bool {
+	switch {
+	case t.Leaving, d.view.ZonesOut[t.Zone], r.Exclude[t.ID], t.health.down(now):
+		return false
+	case !r.Versions.allows(t.Version):
+		return false
+	}
+	return !t.Cold(now) || d.peekCold(t, now)
+}
+
+// candidate predicts what a request meets at a target.
+func (d *Dispatcher) candidate(r *Request, t *target, now time.Time) candidate {
+	c := candidate{target: t, ok: t.running() < t.Slots}
+	rate := t.rate.perMS()
+	waitMS, readMS := 0.0, 0.0
+	if r.TokensIn > 0 {
+		c.kept = min(t.parts.kept(r.Parts), r.TokensIn)
+		waitMS = t.backlog(now) / rate
+		readMS = float64(r.TokensIn-c.kept) / rate
+		memory := float64(d.memoryOf(t.Service)) * memoryShare
+		if waitMS > mostWait || t.own.Memory+t.peers.Memory+float64(r.TokensIn+r.TokensOut) > memory && t.running() > 0 {
+			c.ok = false
+		}
+	}
+	c.wait = ms(waitMS)
+	c.first = ms(waitMS+readMS) + stepTime
+	c.cost = waitMS + rereadWeight*readMS + badCost*t.health.badShare() +
+		crowdCost*float64(t.running())/float64(t.Slots)
+	if t.Zone != d.limits.Zone {
+		c.cost += zoneCost
+	}
+	if !c.ok && waitMS <= mostWait {
+		// No place is free; the time until one is can't be predicted.
+		c.cost += mostWait
+	}
+	if len(r.Parts) > 1 && c.kept < r.TokensIn && d.preferred(r, t) {
+		c.cost -= readMS * preferredTrust
+	}
+	return c
+}
+
+// preferredTrust is the part of a prompt's reading time that is expected to be
+// saved at the target that all routers prefer for it.
+const preferredTrust = 0.4
+
+// preferred reports whether a target is the one that all routers prefer for
+// prompts that share the request's parts: the first in rendezvous order of the
+// last shared part.
+func (d *Dispatcher) preferred(r *Request, t *target) bool {
+	shared := r.Parts[len(r.Parts)-2].Key
+	own := mix(shared ^ t.key)
+	for _, o := range d.services[r.Service] {
+		if o != t && !o.Leaving && mix(shared^o.key) > own {
+			return false
+		}
+	}
+	return true
+}
+
+// mix is the finalizer of splitmix64 (Steele, Lea and Flood, 2014).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+
+// coldOwners is the number of routers that may send to one cold target.
+const coldOwners = 4
+
+// coldRate returns this router's part of the requests a second that a cold
+// target bears. Two sets of owners at a time, as differing views of the fleet
+// allow, stay within the bound together: 2 * (0.6*rate + coldOwners) is at most
+// rate*overage + tolerance for the rates that operators configure.
+func (d *Dispatcher) coldRate(t *target) float64 {
+	service := d.view.Config.Services[t.Service]
+	if service == nil || service.ColdPerSecond <= 0 {
+		return math.Inf(1)
+	}
+	const caution = 0.6
+	return service.ColdPerSecond * caution / coldOwners
+}
+
+// ownsCold reports whether this router is among those that send to a cold
+// target: the first in rendezvous order of the members.
+func (d *Dispatcher) ownsCold(t *target) bool {
+	own := mix(t.key ^ hashName(d.limits.Self))
+	ahead := 0
+	for name := range d.view.Members {
+		if name != d.limits.Self && mix(t.key^hashName(name)) > own {
+			ahead++
+		}
+	}
+	return ahead < coldOwners
+}
+
+func (d *Dispatcher) peekCold(t *target, now time.Time) bool {
+	rate := d.coldRate(t)
+	return math.IsInf(rate, 1) || d.ownsCold(t) && t.cold.peek(rate, 1, now)
+}
+
+func (d *Dispatcher) takeCold(t *target, now time.Time) {
+	if rate := d.coldRate(t); !math.IsInf(rate, 1) {
+		t.cold.take(rate, 1, now)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,285 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/zinniaquay/zinniaquay/internal/catalog"
+)
+
+// Limits are the figures of a deployment that decisions keep to.
+type Limits struct {
+	// Self is the name of this router.
+	Self string
+	// Zone is the availability zone of this router.
+	Zone string
+	// ShareWindow is the time over which shares of accounts are counted.
+	ShareWindow time.Duration
+	// ColdOverage and ColdTolerance bound the requests to a cold target in any
+	// second over the whole fleet: its rate times the one plus the other.
+	ColdOverage, ColdTolerance float64
+	// MostQueued is the number of requests that wait here at most.
+	MostQueued int
+}
+
+// Dispatcher holds the requests that wait at one router and what it believes of
+// the targets. It is not safe for concurrent use.
+type Dispatcher struct {
+	limits   Limits
+	view     *catalog.View
+	targets  map[string]*target
+	services map[string][]*target
+	byKey    map[uint64]*target
+	queue    []*Request
+	placed   map[uint64]*placement
+	usage    *usage
+	peers    map[string]*peer
+	shared   time.Time
+	serial   uint64
+}
+
+// placement is a request that was sent and has not ended.
+type placement struct {
+	request *Request
+	target  *target
+	load    Load
+	sent    time.Time
+	began   bool
+}
+
+// New returns a dispatcher without targets.
+func New(limits Limits) *Dispatcher {
+	return &Dispatcher{
+		limits: limits, view: &catalog.View{},
+		targets: make(map[string]*target), services: make(map[string][]*target), byKey: make(map[uint64]*target),
+		placed: make(map[uint64]*placement), usage: newUsage(limits.ShareWindow), peers: make(map[string]*peer),
+	}
+}
+
+// SetView takes over a new view of the deployment. A target that started anew
+// is a new one.
+func (d *Dispatcher) SetView(view *catalog.View) {
+	d.view = view
+	known := d.targets
+	d.targets = make(map[string]*target, len(view.Targets))
+	d.services = make(map[string][]*target)
+	d.byKey = make(map[uint64]*target, len(view.Targets))
+	for id, t := range view.Targets {
+		own, ok := known[id]
+		if !ok || own.Started != t.Started || own.Addr != t.Addr {
+			own = newTarget(t, d.memoryOf(t.Service))
+		}
+		own.Target = t
+		d.targets[id] = own
+		d.byKey[own.key] = own
+		d.services[t.Service] = append(d.services[t.Service], own)
+	}
+	for _, targets := range d.services {
+		slices.SortFunc(targets, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	d.sumPeers()
+}
+
+// memoryOf returns the memory of a service's engines in tokens, or 0.
+func (d *Dispatcher) memoryOf(service string) int {
+	if d.view.Config == nil || d.view.Config.Services[service] == nil {
+		return 0
+	}
+	return d.view.Config.Services[service].MemoryTokens
+}
+
+// NextSequence returns a number for a new request.
+func (d *Dispatcher) NextSequence() uint64 {
+	d.serial++
+	return d.serial
+}
+
+// Enqueue adds a request. It reports false if too many wait.
+func (d *Dispatcher) Enqueue(r *Request, now time.Time) bool {
+	if len(d.queue) >= d.limits.MostQueued {
+		return false
+	}
+	if !r.Resume {
+		d.usage.ask(r.Account, r.size(), now)
+	}
+	d.queue = append(d.queue, r)
+	return true
+}
+
+// Withdraw removes a request that still waits. It reports false if the request
+// does not wait any more.
+func (d *Dispatcher) Withdraw(sequence uint64) bool {
+	for i, r := range d.queue {
+		if r.Sequence == sequence {
+			d.queue = slices.Delete(d.queue, i, i+1)
+			return true
+		}
+	}
+	return false
+}
+
+// Queued returns the number of requests that wait.
+func (d *Dispatcher) Queued() int { return len(d.queue) }
+
+// Running returns the number of requests that were sent and have not ended.
+func (d *Dispatcher) Running() int { return len(d.placed) }
+
+// shareEvery is the pause between two computations of the accounts' shares.
+const shareEvery = 50 * time.Millisecond
+
+// Decide sends and refuses what it can and leaves the rest waiting.
+func (d *Dispatcher) Decide(now time.Time) []Decision {
+	if len(d.queue) == 0 {
+		return nil
+	}
+	if now.Sub(d.shared) >= shareEvery {
+		d.shared = now
+		d.usage.share(d.capacity(), now)
+	}
+	d.sortQueue(now)
+	var decisions []Decision
+	waiting := d.queue[:0]
+	for _, r := range d.queue {
+		decision, decided := d.decide(r, now)
+		if !decided {
+			waiting = append(waiting, r)
+			continue
+		}
+		decisions = append(decisions, decision)
+	}
+	clear(d.queue[len(waiting):])
+	d.queue = waiting
+	for i := range decisions {
+		decisions[i].Queued = len(waiting)
+	}
+	return decisions
+}
+
+// capacity returns what the operator says all engines produce, in tokens a
+// second.
+func (d *Dispatcher) capacity() float64 {
+	if d.view.Config == nil {
+		return 0
+	}
+	return d.view.Config.Limits.TokensPerSecond
+}
+
+// decide decides on one request, or leaves it waiting.
+func (d *Dispatcher) decide(r *Request, now time.Time) (Decision, bool) {
+	c, some := d.choose(r, now)
+	if !some {
+		if d.hopeless(r, now) {
+			return Decision{Request: r, Verdict: RefuseNoTarget, RetryAfter: retryNoTarget}, true
+		}
+		return Decision{}, false
+	}
+	if c.ok && d.admits(r, c, now) {
+		return d.place(r, c, now), true
+	}
+	if d.tooLate(r, c, now) {
+		return Decision{Request: r, Verdict: RefuseLate, Wait: c.first, RetryAfter: d.retryAfter(c)}, true
+	}
+	return Decision{}, false
+}
+
+// place sends a request to a candidate.
+func (d *Dispatcher) place(r *Request, c candidate, now time.Time) Decision {
+	t := c.target
+	load := Load{Running: 1}
+	if r.TokensIn > 0 {
+		load.Backlog = float64(max(0, r.TokensIn-c.kept))
+		load.Memory = float64(r.TokensIn + r.TokensOut)
+		t.parts.use(r.Parts)
+	}
+	if t.Cold(now) {
+		d.takeCold(t, now)
+	}
+	t.own = t.own.plus(load)
+	d.placed[r.Sequence] = &placement{request: r, target: t, load: load, sent: now}
+	if !r.Resume {
+		d.usage.get(r.Account, r.size(), now)
+	}
+	return Decision{Request: r, Verdict: Send, Target: t.ID, Addr: t.Addr, Wait: c.first, Kept: c.kept}
+}
+
+// Began notes that a request's answer has begun: its prompt has been read.
+func (d *Dispatcher) Began(sequence uint64, now time.Time) {
+	p := d.placed[sequence]
+	if p == nil || p.began {
+		return
+	}
+	p.began = true
+	t := p.target
+	if p.load.Backlog > 0 {
+		since := p.sent
+		if t.lastFirst.After(since) {
+			since = t.lastFirst
+		}
+		t.rate.learn(p.load.Backlog, now.Sub(since))
+		t.lastFirst = now
+	}
+	t.own = t.own.minus(Load{Backlog: p.load.Backlog})
+	p.load.Backlog = 0
+}
+
+// End notes how a request that was sent has ended.
+func (d *Dispatcher) End(sequence uint64, o Outcome, now time.Time) {
+	p := d.placed[sequence]
+	if p == nil {
+		return
+	}
+	delete(d.placed, sequence)
+	p.target.own = p.target.own.minus(p.load)
+	p.target.health.note(o, now)
+	if o == NotRun || o == Unreachable {
+		d.usage.get(p.request.Account, -p.request.size(), now)
+	}
+}
+
+// orderKey orders waiting requests; less starts first.
+type orderKey struct {
+	over     int
+	priority int
+	late     int
+	density  float64
+}
+
+func (a orderKey) compare(b orderKey) int {
+	return cmp.Or(
+		cmp.Compare(a.over, b.over),
+		cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.late, b.late),
+		cmp.Compare(b.density, a.density),
+	)
+}
+
+// Weights of the order among requests of accounts within their share.
+const (
+	// outputWorth is what a generated token is worth beside one read, from the
+	// operator's definition of a generation's size.
+	outputWorth = 10
+	// placeCost is the cost in ms of holding one of an engine's places for one
+	// token: a step of some 16 ms for one place of 64.
+	placeCost = 0.25
+)
+
+// sortQueue orders the queue: accounts within their share first, then by rank,
+// then requests that can still be on time, then by what is gained for the time
+// that an engine spends.
+func (d *Dispatcher) sortQueue(now time.Time) {
+	for _, r := range d.queue {
+		r.order = orderKey{priority: r.Priority}
+		if d.usage.account(r.Account).over {
+			r.order.over = 1
+		}
+		if now.Sub(r.Arrived) > r.Objective {
+			r.order.late = 1
+		}
+		if r.TokensIn > 0 {
+			gain := float64(r.TokensIn + outputWorth*r.TokensOut)
+			r.order.density = gain / (float64(r.TokensIn)/startRate + placeCost*float64(r.TokensOut))
+		}
+	}
+	slices.SortStableFunc(d.queue, func(a, b *Request) int { return a.order.compare(b.order) })
+}
--- /dev/null
+++ b/internal/dispatch/refuse.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import "time"
+
+const (
+	// patience is the part of its objective for which a request waits for room.
+	// A refusal after that still leaves the caller time to come back.
+	patience = 0.75
+	// lateLoad is the part of a target's places up to which requests that can
+	// only be late are served beside those that are on time.
+	lateLoad = 0.8
+	// lateWait is the backlog up to which they are.
+	lateWait = 40 * time.Millisecond
+	// retryNoTarget is when a request comes back for which there is no target:
+	// about the time in which a target returns or is replaced.
+	retryNoTarget = 500 * time.Millisecond
+	// noTargetPatience is how long a request waits while no target may serve it.
+	noTargetPatience = 100 * time.Millisecond
+	// leastRetry and mostRetry bound when a request comes back that was refused
+	// because of load.
+	leastRetry = 300 * time.Millisecond
+	mostRetry  = 2 * time.Second
+)
+
+// admits reports whether a request takes the room that there is. One that can
+// only be late leaves the last places to others.
+func (d *Dispatcher) admits(r *Request, c candidate, now time.Time) bool {
+	if r.TokensIn == 0 || r.Resume || now.Add(c.first).Sub(r.Arrived) <= r.Objective {
+		return true
+	}
+	return c.wait <= lateWait && float64(c.target.running()) <= lateLoad*float64(c.target.Slots)
+}
+
+// tooLate reports whether waiting on serves nobody.
+func (d *Dispatcher) tooLate(r *Request, c candidate, now time.Time) bool {
+	if now.Add(c.first).After(r.Deadline) {
+		return true
+	}
+	if r.Resume {
+		return false
+	}
+	return now.Sub(r.Arrived) > time.Duration(patience*float64(r.Objective))
+}
+
+// hopeless reports whether a request has waited long enough for a target.
+func (d *Dispatcher) hopeless(r *Request, now time.Time) bool {
+	return now.Sub(r.Arrived) > noTargetPatience || now.After(r.Deadline)
+}
+
+// retryAfter returns when a request that was refused because of load may come
+// back.
+func (d *Dispatcher) retryAfter(c candidate) time.Duration {
+	return min(max(leastRetry, 2*c.wait), mostRetry)
+}
--- /dev/null
+++ b/internal/dispatch/request.go
@@ -0,0 +1,101 @@
+// Package dispatch decides where and when requests run: it orders those that
+// wait at a router, chooses a target for each, and refuses what can't be served
+// in time. It answers loads under which engines, not routers, are the limit:
+// long prompts that share parts, bursts, and accounts that flood the fleet.
+// Nothing here does I/O, starts a goroutine or reads a clock.
+package dispatch
+
+import "time"
+
+// Part is a part of a prompt.
+type Part struct {
+	// Key identifies the part together with all parts before it.
+	Key uint64
+	// Tokens is the part's length.
+	Tokens int
+}
+
+// Request is a request that waits for a target.
+type Request struct {
+	// Sequence identifies the request at this router.
+	Sequence uint64
+	Account  string
+	Service  string
+	// Priority is the rank; 0 is the highest.
+	Priority int
+	// Arrived is when the caller's request had been read.
+	Arrived time.Time
+	// Objective is the latency within which an answer is on time.
+	Objective time.Duration
+	// Deadline is when the caller or the route gives up.
+	Deadline time.Time
+	// TokensIn is the length of the prompt and TokensOut the most tokens that
+	// the answer has; both 0 for plain requests.
+	TokensIn, TokensOut int
+	Parts               []Part
+	// Exclude holds targets that the request was sent to before.
+	Exclude map[string]bool
+	// Versions are the versions of targets that may run the request.
+	Versions Versions
+	// Resume says that the request continues an answer that has begun.
+	Resume bool
+
+	order orderKey
+}
+
+// Versions says which versions of targets may run a request; the zero value
+// allows all.
+type Versions struct {
+	// Only is the one version that may, unless it is empty.
+	Only string
+	// Not is a version that may not, unless it is empty.
+	Not string
+}
+
+// allows reports whether a version may run a request.
+func (v Versions) allows(version string) bool {
+	return (v.Only == "" || v.Only == version) && (v.Not == "" || v.Not != version)
+}
+
+// size returns the request's size as shares are counted: tokens read, and
+// tokens generated twice.
+func (r *Request) size() float64 {
+	if r.TokensIn == 0 {
+		return 1
+	}
+	return float64(r.TokensIn) + generatedWeight*float64(r.TokensOut)
+}
+
+// generatedWeight is how often a generated token counts beside one that is
+// read, from the operator's definition of shares.
+const generatedWeight = 2
+
+// Verdict says what becomes of a request.
+type Verdict int
+
+const (
+	// Send means that the request goes to the decision's target.
+	Send Verdict = iota
+	// RefuseNoTarget means that no target may serve the request.
+	RefuseNoTarget
+	// RefuseLate means that the request can't be served in time.
+	RefuseLate
+	// RefuseFull means that too many requests wait.
+	RefuseFull
+)
+
+// Decision is what was decided on one request, with what decided it.
+type Decision struct {
+	Request *Request
+	Verdict Verdict
+	// Target is the ID of the target, and Addr its address.
+	Target, Addr string
+	// Wait is the predicted time to the first token at the target.
+	Wait time.Duration
+	// Kept is the number of prompt tokens believed to be kept there.
+	Kept int
+	// RetryAfter is when a refused request may come back.
+	RetryAfter time.Duration
+	// Queued is the number of requests that waited here.
+	Queued int
+}
--- /dev/null
+++ b/internal/dispatch/usage.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// usage is what accounts asked for and got of late, in tokens, over the whole
+// fleet as far as peers have told. Both fade with the window in which shares
+// are counted, so that nothing is saved up and nothing is held against an
+// account for long.
+type usage struct {
+	window   time.Duration
+	accounts map[string]*accountUsage
+}
+
+// accountUsage is the state of one account.
+type accountUsage struct {
+	asked, got fading
+	// othersAsked and othersGot are what peers reported, by peer.
+	others map[string]peerUsage
+	// over says that the account got more than its share.
+	over bool
+}
+
+// peerUsage is what a peer reported of an account.
+type peerUsage struct{ asked, got float64 }
+
+// fading is a sum that fades exponentially.
+type fading struct {
+	value float64
+	at    time.Time
+}
+
+// read returns the sum at a moment.
+func (f *fading) read(now time.Time, window time.Duration) float64 {
+	if f.value == 0 {
+		return 0
+	}
+	return f.value * math.Exp(-now.Sub(f.at).Seconds()/window.Seconds())
+}
+
+// add adds to the sum.
+func (f *fading) add(amount float64, now time.Time, window time.Duration) {
+	f.value, f.at = f.read(now, window)+amount, now
+}
+
+func newUsage(window time.Duration) *usage {
+	return &usage{window: window, accounts: make(map[string]*accountUsage)}
+}
+
+func (u *usage) account(name string) *accountUsage {
+	a := u.accounts[name]
+	if a == nil {
+		a = &accountUsage{others: make(map[string]peerUsage)}
+		u.accounts[name] = a
+	}
+	return a
+}
+
+func (u *usage) ask(name string, tokens float64, now time.Time) {
+	u.account(name).asked.add(tokens, now, u.window)
+}
+
+func (u *usage) get(name string, tokens float64, now time.Time) {
+	u.account(name).got.add(tokens, now, u.window)
+}
+
+// totals returns what an account asked for and got over the fleet.
+func (a *accountUsage) totals(now time.Time, window time.Duration) (asked, got float64) {
+	asked, got = a.asked.read(now, window), a.got.read(now, window)
+	for _, p := range a.others {
+		asked += p.asked
+		got += p.got
+	}
+	return asked, got
+}
+
+// share marks the accounts that got more than their max-min share of what all
+// accounts got together, or of the given capacity in tokens a second if that is
+// more. While all get what they ask for, nobody is over.
+func (u *usage) share(capacity float64, now time.Time) {
+	type demand struct {
+		account    *accountUsage
+		asked, got float64
+	}
+	demands := make([]demand, 0, len(u.accounts))
+	total := 0.0
+	for _, a := range u.accounts {
+		asked, got := a.totals(now, u.window)
+		demands = append(demands, demand{a, asked, got})
+		total += got
+	}
+	total = max(total, capacity*u.window.Seconds())
+	slices.SortFunc(demands, func(a, b demand) int { return cmp.Compare(a.asked, b.asked) })
+	left := total
+	for i, d := range demands {
+		share := left / float64(len(demands)-i)
+		d.account.over = d.got > share
+		left -= math.Min(d.asked, share)
+	}
+}
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,210 @@
+// Package exchange tells peers a few times a second what a gateway has running
+// and what its accounts got, in one datagram each. A lost datagram is made up
+// for by the next.
+package exchange
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/proto"
+
+	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
+	"github.com/zinniaquay/zinniaquay/internal/catalog"
+	"github.com/zinniaquay/zinniaquay/internal/telemetry"
+)
+
+const (
+	// budgetBytes is the number of bytes a second that a process spends on
+	// reports: three quarters of the 4 KB that control may cost.
+	budgetBytes = 3000
+	// fastest is the least time between two rounds of reports.
+	fastest = 100 * time.Millisecond
+	// slowest is the longest, whatever the size of the fleet: a round reaches a
+	// part of the peers then.
+	slowest = time.Second
+	// datagramBytes bounds a report; larger ones are cut down by their sender.
+	datagramBytes = 8 << 10
+	// frameBytes is what a datagram costs besides its payload.
+	frameBytes = 28
+)
+
+// Source gives and takes reports.
+type Source interface {
+	// Report returns what peers are told; name, incarnation and sequence are
+	// filled in by the exchange.
+	Report() *zinniaquayv1.GatewayReport
+	// Merge takes over a peer's report, which is newer than those before.
+	Merge(r *zinniaquayv1.GatewayReport)
+}
+
+// Exchange sends and receives the reports of one process.
+type Exchange struct {
+	self     catalog.Member
+	source   Source
+	members  func() map[string]catalog.Member
+	log      logr.Logger
+	sent     metrics.Counter
+	received metrics.Counter
+	bytes    metrics.Counter
+
+	conn *net.UDPConn
+
+	mu    sync.Mutex
+	heard map[string]version
+	// next is the place in the order of peers at which the next round begins.
+	next int
+}
+
+// version orders the reports of a peer.
+type version struct{ incarnation, sequence uint64 }
+
+// New returns an exchange for a process.
+func New(self catalog.Member, source Source, members func() map[string]catalog.Member, registry metrics.Registry,
+	log logr.Logger) *Exchange {
+	return &Exchange{
+		self: self, source: source, members: members, log: log, heard: make(map[string]version),
+		sent:     metrics.GetOrRegisterCounter(telemetry.Name("peer_reports_sent_total"), registry),
+		received: metrics.GetOrRegisterCounter(telemetry.Name("peer_reports_received_total"), registry),
+		bytes:    metrics.GetOrRegisterCounter(telemetry.Name("peer_bytes_sent_total"), registry),
+	}
+}
+
+// Listen opens the process's port for reports.
+func (e *Exchange) Listen() error {
+	addr, err := net.ResolveUDPAddr("udp4", e.self.Addr)
+	if err != nil {
+		return fmt.Errorf("peer address %s: %w", e.self.Addr, err)
+	}
+	e.conn, err = net.ListenUDP("udp4", addr)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	return nil
+}
+
+// Receive takes reports in until the context ends.
+func (e *Exchange) Receive(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() {
+		if err := e.conn.Close(); err != nil {
+			e.log.Error(err, "port for peers left open")
+		}
+	})
+	defer stop()
+	buffer := make([]byte, datagramBytes)
+	for ctx.Err() == nil {
+		n, _, err := e.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if !errors.Is(err, net.ErrClosed) {
+				e.log.V(1).Info("report not received", "cause", err.Error())
+			}
+			continue
+		}
+		var r zinniaquayv1.GatewayReport
+		if err := proto.Unmarshal(buffer[:n], &r); err != nil {
+			e.log.Info("report can't be read", "bytes", n, "cause", err.Error())
+			continue
+		}
+		e.take(&r)
+	}
+}
+
+// take passes a report on unless a newer one came before.
+func (e *Exchange) take(r *zinniaquayv1.GatewayReport) {
+	if r.GetName() == e.self.Name || r.GetName() == "" {
+		return
+	}
+	v := version{r.GetIncarnation(), r.GetSequence()}
+	e.mu.Lock()
+	old := e.heard[r.GetName()]
+	newer := v.incarnation > old.incarnation || v.incarnation == old.incarnation && v.sequence > old.sequence
+	if newer {
+		e.heard[r.GetName()] = v
+	}
+	e.mu.Unlock()
+	if newer {
+		e.received.Inc(1)
+		e.source.Merge(r)
+	}
+}
+
+// Send tells peers again and again until the context ends.
+func (e *Exchange) Send(ctx context.Context) {
+	timer := time.NewTimer(fastest)
+	defer timer.Stop()
+	var sequence uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		sequence++
+		timer.Reset(e.round(sequence))
+	}
+}
+
+// round sends one report to as many peers as the budget allows and returns the
+// time until the next round.
+func (e *Exchange) round(sequence uint64) time.Duration {
+	peers := e.peers()
+	if len(peers) == 0 {
+		return fastest
+	}
+	r := e.source.Report()
+	r.Name, r.Incarnation, r.Sequence = e.self.Name, e.self.Incarnation, sequence
+	data, err := proto.Marshal(r)
+	if err != nil {
+		e.log.Error(err, "report not sent")
+		return slowest
+	}
+	cost := len(data) + frameBytes
+	pause, reach := plan(cost, len(peers))
+	for i := range reach {
+		e.tell(peers[(e.next+i)%len(peers)], data)
+	}
+	e.next = (e.next + reach) % len(peers)
+	e.bytes.Inc(int64(cost * reach))
+	return pause
+}
+
+// plan returns the time until the next round and the number of peers that this
+// one reaches, given the bytes of a report.
+func plan(cost, peers int) (pause time.Duration, reach int) {
+	most := max(1, budgetBytes*int(slowest/time.Millisecond)/1000/cost)
+	reach = min(peers, most)
+	pause = time.Duration(cost*reach) * time.Second / budgetBytes
+	return min(max(pause, fastest), slowest), reach
+}
+
+func (e *Exchange) tell(addr netip.AddrPort, data []byte) {
+	if _, err := e.conn.WriteToUDPAddrPort(data, addr); err != nil {
+		e.log.V(1).Info("report not sent", "peer", addr.String(), "cause", err.Error())
+		return
+	}
+	e.sent.Inc(1)
+}
+
+// peers returns the addresses of the other members.
+func (e *Exchange) peers() []netip.AddrPort {
+	var peers []netip.AddrPort
+	for name, m := range e.members() {
+		if name == e.self.Name {
+			continue
+		}
+		addr, err := netip.ParseAddrPort(m.Addr)
+		if err != nil {
+			e.log.V(1).Info("member without an address", "member", name, "cause", err.Error())
+			continue
+		}
+		peers = append(peers, addr)
+	}
+	return peers
+}
--- /dev/null
+++ b/internal/gateway/dialect.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/zinniaquay/zinniaquay/internal/dispatch"
+)
+
+// Attempt is what a caller says of one request in its headers.
+type Attempt struct {
+	// ID identifies the request.
+	ID string
+	// Key is the caller's API key.
+	Key string
+	// Deadline is how long the caller waits; 0 if it does not say.
+	Deadline time.Duration
+	// TokensIn is the length of the prompt and TokensOut the most tokens that
+	// the answer has.
+	TokensIn, TokensOut int
+	// Parts are the parts of the prompt in order.
+	Parts []dispatch.Part
+	// LastEvent is the ID of the last event that the caller has.
+	LastEvent string
+}
+
+// Onward is what the fleet tells a target of a request.
+type Onward struct {
+	// Account is the client account's name; empty on open routes.
+	Account string
+	// TargetID is the target that may run the request.
+	TargetID string
+	// Left is the time that the target has.
+	Left time.Duration
+	// LastEvent is the ID of the last event that the caller has, where an answer
+	// goes on at another target.
+	LastEvent string
+}
+
+// AnswerHead is what a target says in the headers of an answer.
+type AnswerHead struct {
+	// RequestID is the ID of the request that is answered.
+	RequestID string
+	// Signed says that the answer bears the target's signature.
+	Signed bool
+	// NotRun says that the target did not run the request and will not.
+	NotRun bool
+	// TargetID is the target that answered, where it says so.
+	TargetID string
+	// Cold is how long the target says that it stays cold.
+	Cold time.Duration
+}
+
+// Dialect translates between headers on the wire and the gateway's types.
+type Dialect interface {
+	// Decode reads the headers of a caller's request.
+	Decode(h http.Header) (Attempt, error)
+	// Outgoing returns the headers for a target.
+	Outgoing(from http.Header, o Onward) http.Header
+	// Answer reads the headers of a target's answer.
+	Answer(status int, h http.Header) AnswerHead
+	// Back returns the headers of a target's answer for the caller.
+	Back(from http.Header) http.Header
+	// OwnAnswer sets the headers of the gateway's own answer.
+	OwnAnswer(h http.Header, attemptID string)
+}
--- /dev/null
+++ b/internal/gateway/process.go
@@ -0,0 +1,239 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/julienschmidt/httprouter"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
+
+	"github.com/zinniaquay/zinniaquay/internal/catalog"
+	"github.com/zinniaquay/zinniaquay/internal/directory"
+	"github.com/zinniaquay/zinniaquay/internal/exchange"
+	"github.com/zinniaquay/zinniaquay/internal/platform"
+	"github.com/zinniaquay/zinniaquay/internal/telemetry"
+	"github.com/zinniaquay/zinniaquay/internal/wait"
+)
+
+// Times of a process.
+const (
+	// tickEvery is the pause between decisions that depend on time alone.
+	tickEvery = 10 * time.Millisecond
+	// sweepEvery is the pause between two sweeps of idle connections.
+	sweepEvery = time.Second
+	// statusEvery is the pause between two looks at what the operator is to be
+	// told.
+	statusEvery = 500 * time.Millisecond
+	// readHeaderTimeout and idleTimeout bound a caller's connection; the limits
+	// that operators configure are below.
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	// maxHeaderBytes bounds the head of a request.
+	maxHeaderBytes = 64 << 10
+)
+
+// Process is a gateway with all its duties.
+type Process struct {
+	settings  Settings
+	log       logr.Logger
+	registry  metrics.Registry
+	directory *directory.Directory
+	gateway   *Gateway
+	exchange  *exchange.Exchange
+	self      catalog.Member
+}
+
+// NewProcess puts a process together.
+func NewProcess(s Settings, store platform.Store, decoder directory.Decoder, dialect Dialect, registry metrics.Registry,
+	log logr.Logger) *Process {
+	p := &Process{settings: s, log: log, registry: registry}
+	p.self = catalog.Member{Name: s.Name, Zone: s.Zone, Addr: s.PeerAddr, Incarnation: uint64(time.Now().UnixNano())}
+	p.directory = directory.New(store, decoder, func(v *catalog.View) { p.gateway.SetView(v) }, registry, log)
+	p.gateway = New(s, dialect, p.directory, registry, log)
+	p.exchange = exchange.New(p.self, p.gateway,
+		func() map[string]catalog.Member { return p.directory.View().Members }, registry, log)
+	return p
+}
+
+// Run serves until the context ends, and then stops in an orderly way.
+func (p *Process) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp4", p.settings.CallerAddr)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	ready, err := net.Listen("tcp4", p.settings.ReadyAddr)
+	if err != nil {
+		return fmt.Errorf("listen for readiness: %w", err)
+	}
+	shown, err := net.Listen("tcp4", p.settings.MetricsAddr)
+	if err != nil {
+		return fmt.Errorf("listen for metrics: %w", err)
+	}
+	if err := p.exchange.Listen(); err != nil {
+		return err
+	}
+	p.log.Info("started", "zone", p.settings.Zone, "callers", p.settings.CallerAddr, "metrics", p.settings.MetricsAddr,
+		"incarnation", p.self.Incarnation)
+
+	duties, end := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	for _, duty := range []func(context.Context){
+		p.directory.Follow, p.directory.Check, p.exchange.Receive, p.exchange.Send, p.tick, p.sweep, p.tellOperator,
+	} {
+		group.Go(func() { duty(duties) })
+	}
+	group.Go(func() { p.directory.Register(ctx, p.self) })
+	servers := []*http.Server{p.serveReady(ready, &group), p.serveMetrics(shown, &group)}
+	caller := p.serveCallers(callers, &group)
+
+	<-ctx.Done()
+	p.stop(caller)
+	end()
+	for _, s := range servers {
+		p.closeServer(s)
+	}
+	group.Wait()
+	p.log.Info("stopped")
+	return nil
+}
+
+// serveCallers serves callers' requests.
+func (p *Process) serveCallers(l net.Listener, group *conc.WaitGroup) *http.Server {
+	server := &http.Server{
+		Handler: p.gateway, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ConnContext: connContext, ConnState: connState,
+		ErrorLog: telemetry.StandardLog(p.log),
+	}
+	group.Go(func() { p.serve(server, framingListener{l}) })
+	return server
+}
+
+// serveReady answers the platform's question whether the process takes
+// connections.
+func (p *Process) serveReady(l net.Listener, group *conc.WaitGroup) *http.Server {
+	router := httprouter.New()
+	router.HandlerFunc(http.MethodGet, p.settings.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !p.gateway.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	server := &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: telemetry.StandardLog(p.log)}
+	group.Go(func() { p.serve(server, l) })
+	return server
+}
+
+// serveMetrics shows the process's metrics.
+func (p *Process) serveMetrics(l net.Listener, group *conc.WaitGroup) *http.Server {
+	router := httprouter.New()
+	router.Handler(http.MethodGet, "/metrics", telemetry.Handler(p.registry))
+	server := &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: telemetry.StandardLog(p.log)}
+	group.Go(func() { p.serve(server, l) })
+	return server
+}
+
+func (p *Process) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		p.log.Error(err, "server ended", "addr", l.Addr().String())
+	}
+}
+
+func (p *Process) closeServer(s *http.Server) {
+	if err := s.Close(); err != nil {
+		p.log.Error(err, "server left open")
+	}
+}
+
+// tick decides on waiting requests as time passes.
+func (p *Process) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.gateway.scheduler.tick()
+		}
+	}
+}
+
+// sweep closes idle connections.
+func (p *Process) sweep(ctx context.Context) {
+	for wait.For(ctx, sweepEvery) {
+		used := make(map[string]bool)
+		for _, t := range p.directory.View().Targets {
+			used[t.Addr] = true
+		}
+		p.gateway.pool.Sweep(time.Now(), func(addr string) bool { return used[addr] })
+	}
+}
+
+// tellOperator writes the states of moves. One process writes first; the others
+// find its status in their views.
+func (p *Process) tellOperator(ctx context.Context) {
+	for wait.For(ctx, statusEvery) {
+		for _, d := range p.gateway.moves.due(time.Now()) {
+			err := p.directory.WriteStatus(ctx, d.service, d.to, d.state)
+			if err != nil && !errors.Is(err, platform.ErrConflict) {
+				p.log.Error(err, "operator not told", "service", d.service, "to", d.to)
+				continue
+			}
+			p.log.Info("move status", "service", d.service, "to", d.to, "state", int(d.state), "written", err == nil)
+		}
+	}
+}
+
+// stopping tracks requests in progress and whether the process is to end.
+type stopping struct {
+	inProgress atomic.Int64
+	since      atomic.Int64
+}
+
+func (s *stopping) begin() { s.inProgress.Add(1) }
+func (s *stopping) end()   { s.inProgress.Add(-1) }
+
+// start notes that the process is to end.
+func (s *stopping) start(now time.Time) { s.since.Store(now.UnixNano()) }
+
+// closing reports whether the process is to end.
+func (s *stopping) closing() bool { return s.since.Load() != 0 }
+
+// Ready reports whether the process takes connections: it knows a
+// configuration, can confirm API keys and does not stop.
+func (g *Gateway) Ready() bool {
+	return !g.stopping.closing() && g.knowledge.View().Config != nil && g.fresh() == nil
+}
+
+// Parts of the grace time of a planned stop.
+const (
+	// takeUntil is the part of the grace time in which requests are still taken:
+	// the platform sends connections until it has heard twice that the process
+	// is not ready.
+	takeUntil = 0.45
+	// finishUntil is the part in which requests in progress may end.
+	finishUntil = 0.95
+)
+
+// stop ends the service of callers: not ready first, then no new requests, then
+// the end of those in progress.
+func (p *Process) stop(server *http.Server) {
+	started := time.Now()
+	p.log.Info("stopping", "grace_ms", p.settings.Bounds.Grace.Milliseconds(),
+		"in_progress", p.gateway.stopping.inProgress.Load())
+	p.gateway.stopping.start(started)
+	grace := float64(p.settings.Bounds.Grace)
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(time.Duration(finishUntil*grace)))
+	defer cancel()
+	wait.For(ctx, time.Duration(takeUntil*grace))
+	if err := server.Shutdown(ctx); err != nil {
+		p.log.Info("requests cut by the end of the grace time", "in_progress", p.gateway.stopping.inProgress.Load())
+		p.closeServer(server)
+	}
+}
--- /dev/null
+++ b/internal/gateway/scheduler.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/zinniaquay/zinniaquay/internal/catalog"
+	"github.com/zinniaquay/zinniaquay/internal/dispatch"
+)
+
+// scheduler shares one dispatcher between requests and tells each what was
+// decided. It is safe for concurrent use.
+type scheduler struct {
+	mu         sync.Mutex
+	dispatcher *dispatch.Dispatcher
+	waiting    map[uint64]chan dispatch.Decision
+}
+
+func newScheduler(limits dispatch.Limits) *scheduler {
+	return &scheduler{dispatcher: dispatch.New(limits), waiting: make(map[uint64]chan dispatch.Decision)}
+}
+
+func (s *scheduler) setView(view *catalog.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatcher.SetView(view)
+	s.decide(time.Now())
+}
+
+// decide passes decisions on. The caller holds the lock.
+func (s *scheduler) decide(now time.Time) {
+	for _, decision := range s.dispatcher.Decide(now) {
+		sequence := decision.Request.Sequence
+		s.waiting[sequence] <- decision // holds one, and gets one
+		delete(s.waiting, sequence)
+	}
+}
+
+// wait enters a request and waits for the decision on it. It reports false if
+// the context ended first; then the request does not wait any more.
+func (s *scheduler) wait(ctx context.Context, r *dispatch.Request) (dispatch.Decision, bool) {
+	decided := make(chan dispatch.Decision, 1)
+	now := time.Now()
+	s.mu.Lock()
+	r.Sequence = s.dispatcher.NextSequence()
+	if !s.dispatcher.Enqueue(r, now) {
+		s.mu.Unlock()
+		return dispatch.Decision{Request: r, Verdict: dispatch.RefuseFull}, true
+	}
+	s.waiting[r.Sequence] = decided
+	s.decide(now)
+	s.mu.Unlock()
+	select {
+	case decision := <-decided:
+		return decision, true
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.dispatcher.Withdraw(r.Sequence) {
+		delete(s.waiting, r.Sequence)
+		return dispatch.Decision{}, false
+	}
+	decision := <-decided
+	if decision.Verdict == dispatch.Send {
+		s.dispatcher.End(r.Sequence, dispatch.Abandoned, time.Now())
+	}
+	return dispatch.Decision{}, false
+}
+
+// began notes that the answer of a request has begun.
+func (s *scheduler) began(sequence uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.dispatcher.Began(sequence, now)
+	s.decide(now)
+}
+
+// end notes how a request ended at its target.
+func (s *scheduler) end(sequence uint64, o dispatch.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.dispatcher.End(sequence, o, now)
+	s.decide(now)
+}
+
+// tick decides anew, for what depends on time alone.
+func (s *scheduler) tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.dispatcher.Forget(now)
+	s.decide(now)
+}
+
+// report returns what peers are told.
+func (s *scheduler) report() dispatch.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.Report(time.Now())
+}
+
+// merge takes over a peer's report.
+func (s *scheduler) merge(name string, r dispatch.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatcher.Merge(name, r, time.Now())
+}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -18,22 +18,50 @@
 	MaxPerRequest = 2
 )
 
+// Limits are the figures of a budget.
+type Limits struct {
+	// ShareOfRequests is the number of retries that each request adds.
+	ShareOfRequests float64
+	// MinPerSecond is the number of retries a second that are allowed however
+	// few requests come.
+	MinPerSecond float64
+	// MaxSaved is the largest number of retries that are saved up.
+	MaxSaved float64
+}
+
 // Budget bounds retries to a share of the requests. It is not safe for
 // concurrent use.
 type Budget struct {
-	saved float64
-	last  time.Time
+	limits Limits
+	saved  float64
+	last   time.Time
 }
 
-// NewBudget returns a budget that has saved up MinPerSecond.
+// NewBudget returns a budget with the package's limits that has saved up
+// MinPerSecond.
 func NewBudget(now time.Time) *Budget {
-	return &Budget{saved: MinPerSecond, last: now}
+	return &Budget{limits: Limits{ShareOfRequests, MinPerSecond, MaxSaved}, saved: MinPerSecond, last: now}
+}
+
+// SetLimits replaces the limits.
+func (b *Budget) SetLimits(l Limits) {
+	b.limits = l
+	b.saved = min(b.saved, l.MaxSaved)
+}
+
+// Fill saves up as many retries as the limits allow.
+func (b *Budget) Fill() { b.saved = b.limits.MaxSaved }
+
+// Some reports whether a first retry would be allowed.
+func (b *Budget) Some(now time.Time) bool {
+	b.refill(now)
+	return b.saved >= 1
 }
 
 // Request notes a request that arrived, retries excluded.
 func (b *Budget) Request(now time.Time) {
 	b.refill(now)
-	b.saved = min(b.saved+ShareOfRequests, MaxSaved)
+	b.saved = min(b.saved+b.limits.ShareOfRequests, b.limits.MaxSaved)
 }
 
 // Take takes one retry out of the budget for a request that was tried again
@@ -49,7 +77,7 @@
 
 // refill adds what the passing of time allows.
 func (b *Budget) refill(now time.Time) {
-	b.saved = min(b.saved+MinPerSecond*max(0, now.Sub(b.last).Seconds()), MaxSaved)
+	b.saved = min(b.saved+b.limits.MinPerSecond*max(0, now.Sub(b.last).Seconds()), b.limits.MaxSaved)
 	b.last = now
 }
 
