Refuse requests that come late after SIGTERM

Closing idle connections does not stop busy ones. Ruled out: the grace time itself, which covers all streams taken earlier.

--- a/internal/directory/changes.go
+++ b/internal/directory/changes.go
@@ -5,7 +5,8 @@
 // logChanges writes a line for each belief that changed.
 func (d *Directory) logChanges(old, view *catalog.View) {
 	if versionOf(old) != versionOf(view) {
-		d.log.Info("configuration in force", "version", versionOf(view), "before", versionOf(old))
+		d.log.Info("configuration in force", "version", versionOf(view), "before", versionOf(old),
+			"tokens_per_s", view.Config.Limits.TokensPerSecond, "accounts", len(view.Config.Accounts))
 	}
 	for id, t := range view.Targets {
 		before, known := old.Targets[id]
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -101,6 +101,9 @@
 // admit finds the route and the client account of a request under the newest
 // configuration.
 func (g *Gateway) admit(x *call) error {
+	if g.stopping.refuses.Load() && len(x.tried) == 0 {
+		return errkind.New(errkind.Draining, "the process is stopping")
+	}
 	config := g.knowledge.View().Config
 	if config == nil {
 		return errkind.New(errkind.NoConfiguration, "no configuration is known yet")
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -194,6 +194,7 @@
 type stopping struct {
 	inProgress atomic.Int64
 	since      atomic.Int64
+	refuses    atomic.Bool
 }
 
 func (s *stopping) begin() { s.inProgress.Add(1) }
@@ -202,6 +203,9 @@
 // start notes that the process is to end.
 func (s *stopping) start(now time.Time) { s.since.Store(now.UnixNano()) }
 
+// refuse notes that no new request is taken any more.
+func (s *stopping) refuse() { s.refuses.Store(true) }
+
 // closing reports whether the process is to end.
 func (s *stopping) closing() bool { return s.since.Load() != 0 }
 
@@ -215,8 +219,8 @@
 const (
 	// takeUntil is the part of the grace time in which requests are still taken:
 	// the platform sends connections until it has heard twice that the process
-	// is not ready.
-	takeUntil = 0.45
+	// is not ready, and a stream that starts later may not end in time.
+	takeUntil = 0.3
 	// finishUntil is the part in which requests in progress may end.
 	finishUntil = 0.95
 )
@@ -232,6 +236,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(time.Duration(finishUntil*grace)))
 	defer cancel()
 	wait.For(ctx, time.Duration(takeUntil*grace))
+	p.gateway.stopping.refuse()
 	if err := server.Shutdown(ctx); err != nil {
 		p.log.Info("requests cut by the end of the grace time", "in_progress", p.gateway.stopping.inProgress.Load())
 		p.closeServer(server)
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -14,7 +14,7 @@
 // refusal is a refusal that states when the caller may come back.
 type refusal struct {
 	failure *errkind.Error
-	after time.Duration
+	after   time.Duration
 }
 
 // Unwrap returns the error of a known kind.
