Order requests by the accounts' max-min shares of the stated capacity

What an account asks beyond its max-min share of the capacity that the operator states now gets spare capacity only, the less the more it had.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -239,7 +239,9 @@
 
 // orderKey orders waiting requests; less starts first.
 type orderKey struct {
-	over     int
+	// spare is 0 for accounts within their share, and else what the account got
+	// beside it.
+	spare    float64
 	priority int
 	late     int
 	density  float64
@@ -247,13 +249,17 @@
 
 func (a orderKey) compare(b orderKey) int {
 	return cmp.Or(
-		cmp.Compare(a.over, b.over),
+		cmp.Compare(a.spare, b.spare),
 		cmp.Compare(a.priority, b.priority),
 		cmp.Compare(a.late, b.late),
 		cmp.Compare(b.density, a.density),
 	)
 }
 
+// shareSlack is the part of its share up to which an account's requests go
+// before those that use spare capacity; usage is known a little late.
+const shareSlack = 1.2
+
 // Weights of the order among requests of accounts within their share.
 const (
 	// outputWorth is what a generated token is worth beside one read, from the
@@ -270,8 +276,8 @@
 func (d *Dispatcher) sortQueue(now time.Time) {
 	for _, r := range d.queue {
 		r.order = orderKey{priority: r.Priority}
-		if d.usage.account(r.Account).over {
-			r.order.over = 1
+		if ratio := d.usage.account(r.Account).ratio; ratio > shareSlack {
+			r.order.spare = ratio
 		}
 		if now.Sub(r.Arrived) > r.Objective {
 			r.order.late = 1
--- a/internal/dispatch/refuse.go
+++ b/internal/dispatch/refuse.go
@@ -11,6 +11,10 @@
 	lateLoad = 0.8
 	// lateWait is the backlog up to which they are.
 	lateWait = 40 * time.Millisecond
+	// spareLoad is the part of a target's places, and spareWait the backlog, up
+	// to which it serves accounts that have just had their share.
+	spareLoad = 0.6
+	spareWait = 80 * time.Millisecond
 	// retryNoTarget is when a request comes back for which there is no target:
 	// about the time in which a target returns or is replaced.
 	retryNoTarget = 500 * time.Millisecond
@@ -25,12 +29,23 @@
 // admits reports whether a request takes the room that there is. One that can
 // only be late leaves the last places to others.
 func (d *Dispatcher) admits(r *Request, c candidate, now time.Time) bool {
+	if r.TokensIn > 0 && !r.Resume && r.order.spare > 0 {
+		return d.spares(r, c)
+	}
 	if r.TokensIn == 0 || r.Resume || now.Add(c.first).Sub(r.Arrived) <= r.Objective {
 		return true
 	}
 	return c.wait <= lateWait && float64(c.target.running()) <= lateLoad*float64(c.target.Slots)
 }
 
+// spares reports whether a target has spare capacity for an account that has had
+// its share: the less, the more the account had beyond it, so that accounts
+// which compete for spare capacity get the same.
+func (d *Dispatcher) spares(r *Request, c candidate) bool {
+	load := float64(c.target.running()) / float64(c.target.Slots)
+	return load <= spareLoad/r.order.spare && c.wait <= time.Duration(float64(spareWait)/r.order.spare)
+}
+
 // tooLate reports whether waiting on serves nobody.
 func (d *Dispatcher) tooLate(r *Request, c candidate, now time.Time) bool {
 	if now.Add(c.first).After(r.Deadline) {
--- a/internal/dispatch/usage.go
+++ b/internal/dispatch/usage.go
@@ -21,8 +21,9 @@
 	asked, got fading
 	// othersAsked and othersGot are what peers reported, by peer.
 	others map[string]peerUsage
-	// over says that the account got more than its share.
-	over bool
+	// ratio is what the account got beside its share; over 1 it took capacity
+	// that others did not ask for.
+	ratio float64
 }
 
 // peerUsage is what a peer reported of an account.
@@ -78,9 +79,8 @@
 	return asked, got
 }
 
-// share marks the accounts that got more than their max-min share of what all
-// accounts got together, or of the given capacity in tokens a second if that is
-// more. While all get what they ask for, nobody is over.
+// share computes the accounts' max-min shares of the capacity in tokens a
+// second, or of what all got together if no capacity is stated.
 func (u *usage) share(capacity float64, now time.Time) {
 	type demand struct {
 		account    *accountUsage
@@ -90,15 +90,23 @@
 	total := 0.0
 	for _, a := range u.accounts {
 		asked, got := a.totals(now, u.window)
+		a.ratio = 0
+		if asked < 1 {
+			continue
+		}
 		demands = append(demands, demand{a, asked, got})
 		total += got
 	}
-	total = max(total, capacity*u.window.Seconds())
+	if capacity > 0 {
+		total = capacity * u.window.Seconds()
+	}
 	slices.SortFunc(demands, func(a, b demand) int { return cmp.Compare(a.asked, b.asked) })
 	left := total
 	for i, d := range demands {
 		share := left / float64(len(demands)-i)
-		d.account.over = d.got > share
+		if d.asked > share {
+			d.account.ratio = d.got / math.Max(share, 1)
+		}
 		left -= math.Min(d.asked, share)
 	}
 }
