Weigh parts of prompts that would be read again

The choice now counts reading a shared part four times and trusts the target that all routers prefer for it.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -21,9 +21,10 @@
 
 // Weights of the choice, in ms of an engine's time.
 const (
-	// rereadWeight is how often the time of reading a prompt counts: once for
-	// the request itself and once for those that wait behind it.
-	rereadWeight = 2.0
+	// rereadWeight is how often the time of reading a part again counts that
+	// another target keeps: for the request itself, for those that wait behind
+	// it, and for the parts that give way to it.
+	rereadWeight = 4.0
 	// crowdCost is what a full engine costs beside an empty one: each token of
 	// its answers takes longer.
 	crowdCost = 60.0
@@ -82,7 +83,7 @@
 	}
 	c.wait = ms(waitMS)
 	c.first = ms(waitMS+readMS) + stepTime
-	c.cost = waitMS + rereadWeight*readMS + badCost*t.health.badShare() +
+	c.cost = waitMS + readMS + badCost*t.health.badShare() +
 		crowdCost*float64(t.running())/float64(t.Slots)
 	if t.Zone != d.limits.Zone {
 		c.cost += zoneCost
@@ -91,15 +92,30 @@
 		// No place is free; the time until one is can't be predicted.
 		c.cost += mostWait
 	}
-	if len(r.Parts) > 1 && c.kept < r.TokensIn && d.preferred(r, t) {
-		c.cost -= readMS * preferredTrust
+	if shared := sharedTokens(r); shared > c.kept {
+		missing := float64(shared - c.kept)
+		if d.preferred(r, t) {
+			missing *= 1 - preferredTrust
+			c.first -= ms(preferredTrust * float64(shared-c.kept) / rate)
+		}
+		c.cost += (rereadWeight - 1) * missing / rate
 	}
 	return c
 }
 
-// preferredTrust is the part of a prompt's reading time that is expected to be
-// saved at the target that all routers prefer for it.
-const preferredTrust = 0.4
+// sharedTokens returns the length of the parts that other requests may share:
+// all but the last.
+func sharedTokens(r *Request) int {
+	tokens := 0
+	for i := range len(r.Parts) - 1 {
+		tokens += r.Parts[i].Tokens
+	}
+	return tokens
+}
+
+// preferredTrust is how sure it is that the target which all routers prefer for
+// a shared part keeps it, whoever sent it there.
+const preferredTrust = 0.8
 
 // preferred reports whether a target is the one that all routers prefer for
 // prompts that share the request's parts: the first in rendezvous order of the
