--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -24,8 +24,8 @@
 
 // Times of a process.
 const (
-	// tickEvery is the pause between decisions that depend on time alone.
-	tickEvery = 10 * time.Millisecond
+	// forgetEvery is the pause between two looks for peers that fell silent.
+	forgetEvery = 500 * time.Millisecond
 	// sweepEvery is the pause between two sweeps of idle connections.
 	sweepEvery = time.Second
 	// statusEvery is the pause between two looks at what the operator is to be
@@ -85,7 +85,8 @@
 	duties, end := context.WithCancel(context.Background())
 	var group conc.WaitGroup
 	for _, duty := range []func(context.Context){
-		p.directory.Follow, p.directory.Check, p.exchange.Receive, p.exchange.Send, p.tick, p.sweep, p.tellOperator,
+		p.directory.Follow, p.directory.Check, p.exchange.Receive, p.exchange.Send, p.gateway.scheduler.run,
+		p.forget, p.sweep, p.tellOperator,
 	} {
 		group.Go(func() { duty(duties) })
 	}
@@ -150,17 +151,10 @@
 	}
 }
 
-// tick decides on waiting requests as time passes.
-func (p *Process) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			p.gateway.scheduler.tick()
-		}
+// forget drops what is known of peers that fell silent.
+func (p *Process) forget(ctx context.Context) {
+	for wait.For(ctx, forgetEvery) {
+		p.gateway.scheduler.forget()
 	}
 }
 
@@ -223,22 +217,34 @@
 	takeUntil = 0.3
 	// finishUntil is the part in which requests in progress may end.
 	finishUntil = 0.95
+	// quietFor is how long no request may be in progress before the process
+	// ends: requests that were on their way get their refusal.
+	quietFor = 200 * time.Millisecond
+	// stopPoll is the pause between two looks at the requests in progress.
+	stopPoll = 20 * time.Millisecond
 )
 
 // stop ends the service of callers: not ready first, then no new requests, then
-// the end of those in progress.
+// the end of those in progress. Connections stay open to the last, since a
+// request may be on its way on any of them.
 func (p *Process) stop(server *http.Server) {
 	started := time.Now()
-	p.log.Info("stopping", "grace_ms", p.settings.Bounds.Grace.Milliseconds(),
-		"in_progress", p.gateway.stopping.inProgress.Load())
-	p.gateway.stopping.start(started)
+	stopping := &p.gateway.stopping
+	p.log.Info("stopping", "grace_ms", p.settings.Bounds.Grace.Milliseconds(), "in_progress", stopping.inProgress.Load())
+	stopping.start(started)
 	grace := float64(p.settings.Bounds.Grace)
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(time.Duration(finishUntil*grace)))
 	defer cancel()
 	wait.For(ctx, time.Duration(takeUntil*grace))
-	p.gateway.stopping.refuse()
-	if err := server.Shutdown(ctx); err != nil {
-		p.log.Info("requests cut by the end of the grace time", "in_progress", p.gateway.stopping.inProgress.Load())
-		p.closeServer(server)
+	stopping.refuse()
+	quietSince := time.Now()
+	for wait.For(ctx, stopPoll) && time.Since(quietSince) < quietFor {
+		if stopping.inProgress.Load() > 0 {
+			quietSince = time.Now()
+		}
+	}
+	if n := stopping.inProgress.Load(); n > 0 {
+		p.log.Info("requests cut by the end of the grace time", "in_progress", n)
 	}
+	p.closeServer(server)
 }
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -7,6 +7,7 @@
 
 	"github.com/zinniaquay/zinniaquay/internal/catalog"
 	"github.com/zinniaquay/zinniaquay/internal/dispatch"
+	"github.com/zinniaquay/zinniaquay/internal/wait"
 )
 
 // scheduler shares one dispatcher between requests and tells each what was
@@ -15,17 +16,23 @@
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
 	waiting    map[uint64]chan dispatch.Decision
+	// wake tells run that requests wait.
+	wake chan struct{}
 }
 
+// decideEvery is the pause between two decisions on all that wait. One costs the
+// more, the more requests wait, and engines have work for longer than that.
+const decideEvery = 5 * time.Millisecond
+
 func newScheduler(limits dispatch.Limits) *scheduler {
-	return &scheduler{dispatcher: dispatch.New(limits), waiting: make(map[uint64]chan dispatch.Decision)}
+	return &scheduler{dispatcher: dispatch.New(limits), waiting: make(map[uint64]chan dispatch.Decision),
+		wake: make(chan struct{}, 1)}
 }
 
 func (s *scheduler) setView(view *catalog.View) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dispatcher.SetView(view)
-	s.decide(time.Now())
 }
 
 // decide passes decisions on. The caller holds the lock.
@@ -49,7 +56,12 @@
 		return dispatch.Decision{Request: r, Verdict: dispatch.RefuseFull}, true
 	}
 	s.waiting[r.Sequence] = decided
-	s.decide(now)
+	if s.dispatcher.Queued() == 1 {
+		s.decide(now)
+	}
+	if s.dispatcher.Queued() > 0 {
+		s.ring()
+	}
 	s.mu.Unlock()
 	select {
 	case decision := <-decided:
@@ -73,27 +85,50 @@
 func (s *scheduler) began(sequence uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	s.dispatcher.Began(sequence, now)
-	s.decide(now)
+	s.dispatcher.Began(sequence, time.Now())
 }
 
 // end notes how a request ended at its target.
 func (s *scheduler) end(sequence uint64, o dispatch.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	s.dispatcher.End(sequence, o, now)
-	s.decide(now)
+	s.dispatcher.End(sequence, o, time.Now())
+}
+
+// ring wakes run.
+func (s *scheduler) ring() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
 }
 
-// tick decides anew, for what depends on time alone.
-func (s *scheduler) tick() {
+// run decides again and again while requests wait, until the context ends.
+func (s *scheduler) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+		}
+		for s.again() && wait.For(ctx, decideEvery) {
+		}
+	}
+}
+
+// again decides on all that wait. It reports whether some wait on.
+func (s *scheduler) again() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	s.dispatcher.Forget(now)
-	s.decide(now)
+	s.decide(time.Now())
+	return s.dispatcher.Queued() > 0
+}
+
+// forget drops peers that fell silent.
+func (s *scheduler) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatcher.Forget(time.Now())
 }
 
 // report returns what peers are told.
