Count the accounts' usage over half the window of shares

The sums faded with the whole window, so they were twice as old as a window's content. Ruled out: lost reports between peers; all routers held the same figures.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -152,6 +152,7 @@
 	d.queue = waiting
 	for i := range decisions {
 		decisions[i].Queued = len(waiting)
+		decisions[i].Spare = decisions[i].Request.order.spare
 	}
 	return decisions
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -98,4 +98,6 @@
 	RetryAfter time.Duration
 	// Queued is the number of requests that waited here.
 	Queued int
+	// Spare is what the account had beside its share, if it was over it; else 0.
+	Spare float64
 }
--- a/internal/dispatch/usage.go
+++ b/internal/dispatch/usage.go
@@ -48,8 +48,10 @@
 	f.value, f.at = f.read(now, window)+amount, now
 }
 
+// newUsage returns usage without accounts. The sums fade at half the window, so
+// that what they hold is as old on average as a window's content.
 func newUsage(window time.Duration) *usage {
-	return &usage{window: window, accounts: make(map[string]*accountUsage)}
+	return &usage{window: window / 2, accounts: make(map[string]*accountUsage)}
 }
 
 func (u *usage) account(name string) *accountUsage {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -51,7 +51,7 @@
 	}
 	g.log.Info("request placed", telemetry.KeyRequest, x.attempt.ID, "target", decision.Target, "version", version.Only,
 		"waited_ms", waited.Milliseconds(), "predicted_ms", decision.Wait.Milliseconds(), "kept", decision.Kept,
-		"config", x.config, "queued", decision.Queued)
+		"config", x.config, "queued", decision.Queued, telemetry.KeyAccount, x.account.Name, "over_share", decision.Spare)
 	return decision, nil
 }
 
