--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -172,9 +172,10 @@
 	fields := []any{
 		telemetry.KeyRequest, x.attempt.ID, "took_ms", time.Since(x.started).Milliseconds(),
 		"config", x.config, "tried", len(x.tried), "events", x.relay.events,
+		"first_ms", x.relay.first.Milliseconds(), "longest_gap_ms", x.relay.longestGap.Milliseconds(),
 	}
 	if x.route != nil {
-		fields = append(fields, "route", x.route.Name)
+		fields = append(fields, "route", x.route.Name, "objective_ms", x.route.Objective.Milliseconds())
 	}
 	if x.account != nil {
 		fields = append(fields, telemetry.KeyAccount, x.account.Name)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -22,6 +22,20 @@
 	// lastEvent is the ID of the last event that the caller has.
 	lastEvent string
 	events    int
+	// first is the time from the request's start to the first byte of its
+	// answer, and longestGap the longest pause between events.
+	first, longestGap time.Duration
+	lastAt            time.Time
+}
+
+// note notes that bytes of the answer went to the caller.
+func (r *relay) note(started, now time.Time) {
+	if r.lastAt.IsZero() {
+		r.first = now.Sub(started)
+	} else {
+		r.longestGap = max(r.longestGap, now.Sub(r.lastAt))
+	}
+	r.lastAt = now
 }
 
 const (
@@ -95,6 +109,7 @@
 	if err := http.NewResponseController(x.w).Flush(); err != nil {
 		return errkind.Wrap(errkind.Canceled, err, "the caller left during its answer")
 	}
+	x.relay.note(x.started, time.Now())
 	x.relay.events += bytes.Count(events, eventEnd)
 	if id := lastEventID(events); id != "" {
 		x.relay.lastEvent = id
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -197,6 +197,7 @@
 		return broken(x, err, "read the whole answer")
 	}
 	g.counts.firstByte.Update(time.Since(x.started).Milliseconds())
+	x.relay.note(x.started, time.Now())
 	x.relay.begun, x.relay.closed = true, true
 	h := x.w.Header()
 	for name, values := range g.dialect.Back(resp.Header) {
