Send prompts over 20,000 tokens to one engine in six

All routers agree on the engines by rendezvous order. Ruled out: steady reading of short prompts (the bound tried before).

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -75,7 +75,7 @@
 	if r.TokensIn > 0 {
 		c.kept = min(t.parts.kept(r.Parts), r.TokensIn)
 		waitMS = t.backlog(now) / rate
-		readMS = float64(r.TokensIn-c.kept) / rate
+		readMS = readingTime(r.TokensIn, c.kept) / rate
 		memory := float64(d.memoryOf(t.Service)) * memoryShare
 		if waitMS > mostWait || t.own.Memory+t.peers.Memory+float64(r.TokensIn+r.TokensOut) > memory && t.running() > 0 {
 			c.ok = false
@@ -85,6 +85,7 @@
 	c.first = ms(waitMS+readMS) + stepTime
 	c.cost = waitMS + readMS + badCost*t.health.badShare() +
 		crowdCost*float64(t.running())/float64(t.Slots)
+	c.cost += longPromptCost(r.TokensIn-c.kept, d.takesLong(t))
 	if t.Zone != d.limits.Zone {
 		c.cost += zoneCost
 	}
@@ -103,6 +104,55 @@
 	return c
 }
 
+// attentionTokens is the length of a context at which reading one more token
+// takes twice as long as at the start, for engines of the present kind.
+const attentionTokens = 55000
+
+// readingTime returns the time of reading a prompt of which some tokens are
+// kept, in tokens at the start of a context.
+func readingTime(tokens, kept int) float64 {
+	return float64(tokens-kept) * (1 + float64(tokens+kept)/2/attentionTokens)
+}
+
+// Figures of long prompts. Reading one holds up every answer that runs at the
+// engine, so that all routers send them to the same few engines.
+const (
+	// longPrompt is the number of tokens from which reading a prompt makes pauses
+	// that are late in the answers beside it: some five steps of full chunks.
+	longPrompt = 20000
+	// longEvery is the number of targets of which one takes long prompts.
+	longEvery = 6
+	// strayCost is what a long prompt costs at a target that takes none, and
+	// guestCost what another one costs at a target that takes them, in ms.
+	strayCost = 800.0
+	guestCost = 150.0
+)
+
+// longPromptCost returns what a prompt costs beside its own time where it mixes
+// long prompts with others.
+func longPromptCost(tokens int, takesLong bool) float64 {
+	switch {
+	case tokens >= longPrompt && !takesLong:
+		return strayCost
+	case tokens > 0 && tokens < longPrompt && takesLong:
+		return guestCost
+	}
+	return 0
+}
+
+// takesLong reports whether a target takes long prompts: one in longEvery of a
+// service, by an order that all routers share.
+func (d *Dispatcher) takesLong(t *target) bool {
+	targets := d.services[t.Service]
+	ahead, wanted := 0, (len(targets)+longEvery/2)/longEvery
+	for _, o := range targets {
+		if o != t && !o.Leaving && mix(o.key) > mix(t.key) {
+			ahead++
+		}
+	}
+	return ahead < wanted
+}
+
 // sharedTokens returns the length of the parts that other requests may share:
 // all but the last.
 func sharedTokens(r *Request) int {
