Count accounts that only peers serve in the shares

A gateway divided the capacity between the accounts that its own callers named. Ruled out: members unknown, lost reports.

--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -49,10 +49,10 @@
 	if !slow {
 		return r
 	}
-	for name, a := range d.usage.accounts {
+	for hash, a := range d.usage.accounts {
 		asked, got := a.asked.read(now, d.usage.window), a.got.read(now, d.usage.window)
 		if asked >= leastReported || got >= leastReported {
-			r.Accounts = append(r.Accounts, AccountReport{uint32(hashName(name)), asked, got})
+			r.Accounts = append(r.Accounts, AccountReport{hash, asked, got})
 		}
 	}
 	return r
@@ -67,19 +67,8 @@
 		}
 	}
 	d.sumPeers()
-	if !r.Slow {
-		return
-	}
-	reported := make(map[uint32]AccountReport, len(r.Accounts))
-	for _, a := range r.Accounts {
-		reported[a.Account] = a
-	}
-	for account, a := range d.usage.accounts {
-		if found, ok := reported[uint32(hashName(account))]; ok {
-			a.others[name] = peerUsage{found.Asked, found.Got}
-		} else {
-			delete(a.others, name)
-		}
+	if r.Slow {
+		d.usage.merge(name, r.Accounts)
 	}
 }
 
@@ -91,9 +80,7 @@
 			continue
 		}
 		delete(d.peers, name)
-		for _, a := range d.usage.accounts {
-			delete(a.others, name)
-		}
+		d.usage.forget(name)
 		dropped = true
 	}
 	if dropped {
--- a/internal/dispatch/usage.go
+++ b/internal/dispatch/usage.go
@@ -12,14 +12,16 @@
 // are counted, so that nothing is saved up and nothing is held against an
 // account for long.
 type usage struct {
-	window   time.Duration
-	accounts map[string]*accountUsage
+	window time.Duration
+	// accounts holds all accounts of the fleet that were active of late, by the
+	// hash of their names, by which peers report them too.
+	accounts map[uint32]*accountUsage
 }
 
 // accountUsage is the state of one account.
 type accountUsage struct {
 	asked, got fading
-	// othersAsked and othersGot are what peers reported, by peer.
+	// others is what peers reported, by peer.
 	others map[string]peerUsage
 	// ratio is what the account got beside its share; over 1 it took capacity
 	// that others did not ask for.
@@ -51,14 +53,17 @@
 // newUsage returns usage without accounts. The sums fade at half the window, so
 // that what they hold is as old on average as a window's content.
 func newUsage(window time.Duration) *usage {
-	return &usage{window: window / 2, accounts: make(map[string]*accountUsage)}
+	return &usage{window: window / 2, accounts: make(map[uint32]*accountUsage)}
 }
 
-func (u *usage) account(name string) *accountUsage {
-	a := u.accounts[name]
+// account returns the usage of an account.
+func (u *usage) account(name string) *accountUsage { return u.byHash(uint32(hashName(name))) }
+
+func (u *usage) byHash(hash uint32) *accountUsage {
+	a := u.accounts[hash]
 	if a == nil {
 		a = &accountUsage{others: make(map[string]peerUsage)}
-		u.accounts[name] = a
+		u.accounts[hash] = a
 	}
 	return a
 }
@@ -71,6 +76,21 @@
 	u.account(name).got.add(tokens, now, u.window)
 }
 
+// merge takes over what a peer reported of all accounts.
+func (u *usage) merge(peer string, reported []AccountReport) {
+	u.forget(peer)
+	for _, r := range reported {
+		u.byHash(r.Account).others[peer] = peerUsage{r.Asked, r.Got}
+	}
+}
+
+// forget drops what a peer reported.
+func (u *usage) forget(peer string) {
+	for _, a := range u.accounts {
+		delete(a.others, peer)
+	}
+}
+
 // totals returns what an account asked for and got over the fleet.
 func (a *accountUsage) totals(now time.Time, window time.Duration) (asked, got float64) {
 	asked, got = a.asked.read(now, window), a.got.read(now, window)
@@ -90,10 +110,13 @@
 	}
 	demands := make([]demand, 0, len(u.accounts))
 	total := 0.0
-	for _, a := range u.accounts {
+	for hash, a := range u.accounts {
 		asked, got := a.totals(now, u.window)
 		a.ratio = 0
 		if asked < 1 {
+			if len(a.others) == 0 {
+				delete(u.accounts, hash)
+			}
 			continue
 		}
 		demands = append(demands, demand{a, asked, got})
--- /dev/null
+++ b/internal/dispatch/usage_test.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const testWindow = 4 * time.Second
+
+// An account that only peers serve has its part in the shares, or a router with
+// one account of its own takes the whole capacity for that account's share.
+func TestSharesCountAccountsThatOnlyPeersServe(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	u := newUsage(testWindow)
+	u.ask("own", 1000, now)
+	u.get("own", 900, now)
+	reported := make([]AccountReport, 9)
+	for i := range reported {
+		reported[i] = AccountReport{Account: uint32(i), Asked: 1000, Got: 100}
+	}
+	u.merge("peer", reported)
+	u.share(1000/u.window.Seconds(), now)
+	is.True(u.account("own").ratio > 8.9 && u.account("own").ratio < 9.1) // 900 beside a tenth of 1000
+	u.forget("peer")
+	u.share(1000/u.window.Seconds(), now)
+	is.Equal(u.account("own").ratio, 0.0) // alone within the capacity
+}
+
+func TestSmallAccountsAreWithinTheirShareHoweverMuchOthersAsk(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	u := newUsage(testWindow)
+	u.ask("flood", 100000, now)
+	u.get("flood", 700, now)
+	u.ask("village", 100, now)
+	u.get("village", 100, now)
+	u.share(1000/u.window.Seconds(), now)
+	is.Equal(u.account("village").ratio, 0.0)
+	is.True(u.account("flood").ratio < 1) // 900 are left for it
+	u.get("flood", 1100, now)
+	u.share(1000/u.window.Seconds(), now)
+	is.True(u.account("flood").ratio > 1.9)
+}
+
+func TestUsageFadesAndIsForgotten(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	u := newUsage(testWindow)
+	u.ask("a", 1000, now)
+	later := now.Add(testWindow / 2)
+	asked, _ := u.account("a").totals(later, u.window)
+	is.True(asked > 360 && asked < 375) // 1000 / e
+	u.share(0, now.Add(time.Minute))
+	is.Equal(len(u.accounts), 0)
+}
