--- a/internal/dispatch/refuse.go
+++ b/internal/dispatch/refuse.go
@@ -13,8 +13,8 @@
 	lateWait = 40 * time.Millisecond
 	// spareLoad is the part of a target's places, and spareWait the backlog, up
 	// to which it serves accounts that have just had their share.
-	spareLoad = 0.6
-	spareWait = 80 * time.Millisecond
+	spareLoad = 0.8
+	spareWait = 120 * time.Millisecond
 	// retryNoTarget is when a request comes back for which there is no target:
 	// about the time in which a target returns or is replaced.
 	retryNoTarget = 500 * time.Millisecond
