Measure spare capacity beside the least served account that asks for it

Under floods engines ran 30 of 64 places, since spare capacity shrank with each account's own excess. It now shrinks with the excess over the least served of the accounts that compete.

--- a/internal/dispatch/refuse.go
+++ b/internal/dispatch/refuse.go
@@ -13,8 +13,8 @@
 	lateWait = 40 * time.Millisecond
 	// spareLoad is the part of a target's places, and spareWait the backlog, up
 	// to which it serves accounts that have just had their share.
-	spareLoad = 0.8
-	spareWait = 120 * time.Millisecond
+	spareLoad = 0.55
+	spareWait = 30 * time.Millisecond
 	// retryNoTarget is when a request comes back for which there is no target:
 	// about the time in which a target returns or is replaced.
 	retryNoTarget = 500 * time.Millisecond
@@ -39,11 +39,15 @@
 }
 
 // spares reports whether a target has spare capacity for an account that has had
-// its share: the less, the more the account had beyond it, so that accounts
-// which compete for spare capacity get the same.
+// its share: the less, the more the account had beside the least served of those
+// that compete for it, so that all of them get the same.
 func (d *Dispatcher) spares(r *Request, c candidate) bool {
+	part := 1.0
+	if d.usage.least > 0 && r.order.spare > d.usage.least {
+		part = d.usage.least / r.order.spare
+	}
 	load := float64(c.target.running()) / float64(c.target.Slots)
-	return load <= spareLoad/r.order.spare && c.wait <= time.Duration(float64(spareWait)/r.order.spare)
+	return load <= spareLoad*part && c.wait <= time.Duration(float64(spareWait)*part)
 }
 
 // tooLate reports whether waiting on serves nobody.
--- a/internal/dispatch/usage.go
+++ b/internal/dispatch/usage.go
@@ -16,6 +16,9 @@
 	// accounts holds all accounts of the fleet that were active of late, by the
 	// hash of their names, by which peers report them too.
 	accounts map[uint32]*accountUsage
+	// least is the least ratio of all accounts that are over their share and ask
+	// for more; 0 if there is none.
+	least float64
 }
 
 // accountUsage is the state of one account.
@@ -127,10 +130,14 @@
 	}
 	slices.SortFunc(demands, func(a, b demand) int { return cmp.Compare(a.asked, b.asked) })
 	left := total
+	u.least = 0
 	for i, d := range demands {
 		share := left / float64(len(demands)-i)
 		if d.asked > share {
 			d.account.ratio = d.got / math.Max(share, 1)
+			if d.account.ratio > shareSlack && d.asked > d.got && (u.least == 0 || d.account.ratio < u.least) {
+				u.least = d.account.ratio
+			}
 		}
 		left -= math.Min(d.asked, share)
 	}
