--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -24,7 +24,10 @@
 	// rereadWeight is how often the time of reading a part again counts that
 	// another target keeps: for the request itself, for those that wait behind
 	// it, and for the parts that give way to it.
-	rereadWeight = 4.0
+	rereadWeight = 5.0
+	// spareReread is the same for requests that use spare capacity: they wait for
+	// a target that keeps their parts rather than take others' time.
+	spareReread = 15.0
 	// crowdCost is what a full engine costs beside an empty one: each token of
 	// its answers takes longer.
 	crowdCost = 60.0
@@ -99,7 +102,11 @@
 			missing *= 1 - preferredTrust
 			c.first -= ms(preferredTrust * float64(shared-c.kept) / rate)
 		}
-		c.cost += (rereadWeight - 1) * missing / rate
+		weight := rereadWeight
+		if r.order.spare > 0 {
+			weight = spareReread
+		}
+		c.cost += (weight - 1) * missing / rate
 	}
 	return c
 }
