--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -24,10 +24,10 @@
 	// rereadWeight is how often the time of reading a part again counts that
 	// another target keeps: for the request itself, for those that wait behind
 	// it, and for the parts that give way to it.
-	rereadWeight = 5.0
+	rereadWeight = 8.0
 	// spareReread is the same for requests that use spare capacity: they wait for
 	// a target that keeps their parts rather than take others' time.
-	spareReread = 15.0
+	spareReread = 25.0
 	// crowdCost is what a full engine costs beside an empty one: each token of
 	// its answers takes longer.
 	crowdCost = 60.0
