--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -172,12 +172,16 @@
 	if resp.StatusCode < http.StatusMultipleChoices && !head.Signed {
 		return dispatch.Failed, broken(x, errors.New("the answer is not signed"), "run the request")
 	}
+	isStream := x.route.Stream && resp.StatusCode == http.StatusOK
+	if x.relay.begun && !isStream {
+		return dispatch.Failed, broken(x, fmt.Errorf("status %d", resp.StatusCode), "go on with the answer")
+	}
 	outcome := dispatch.Answered
 	if resp.StatusCode >= http.StatusInternalServerError {
 		outcome = dispatch.Failed
 	}
 	var err error
-	if x.route.Stream && resp.StatusCode == http.StatusOK {
+	if isStream {
 		err = g.relayStream(x, d, conn, resp)
 	} else {
 		g.scheduler.began(d.Request.Sequence)
