--- a/internal/directory/changes.go
+++ b/internal/directory/changes.go
@@ -1,13 +1,39 @@
 package directory
 
-import "github.com/zinniaquay/zinniaquay/internal/catalog"
+import (
+	"maps"
+
+	"github.com/zinniaquay/zinniaquay/internal/catalog"
+)
 
 // logChanges writes a line for each belief that changed.
 func (d *Directory) logChanges(old, view *catalog.View) {
 	if versionOf(old) != versionOf(view) {
 		d.log.Info("configuration in force", "version", versionOf(view), "before", versionOf(old),
-			"tokens_per_s", view.Config.Limits.TokensPerSecond, "accounts", len(view.Config.Accounts))
+			"tokens_per_s", view.Config.Limits.TokensPerSecond, "keys", len(view.Config.Accounts))
+	}
+	d.logTargets(old, view)
+	d.logMoves(old, view)
+	logSet(view.ZonesOut, old.ZonesOut, func(zone string) { d.log.Info("zone taken out", "zone", zone) })
+	logSet(old.ZonesOut, view.ZonesOut, func(zone string) { d.log.Info("zone returned", "zone", zone) })
+	logSet(view.Members, old.Members, func(name string) {
+		d.log.Info("member joined", "member", name, "incarnation", view.Members[name].Incarnation)
+	})
+	logSet(old.Members, view.Members, func(name string) { d.log.Info("member gone", "member", name) })
+}
+
+// logSet calls tell for each key of a map that another one has not with the same
+// value.
+func logSet[V comparable](in, other map[string]V, tell func(key string)) {
+	for key := range maps.Keys(in) {
+		if before, ok := other[key]; !ok || before != in[key] {
+			tell(key)
+		}
 	}
+}
+
+// logTargets tells of targets that joined, changed or went.
+func (d *Directory) logTargets(old, view *catalog.View) {
 	for id, t := range view.Targets {
 		before, known := old.Targets[id]
 		switch {
@@ -23,29 +49,13 @@
 			d.log.Info("target gone", "target", id)
 		}
 	}
-	for zone := range view.ZonesOut {
-		if !old.ZonesOut[zone] {
-			d.log.Info("zone taken out", "zone", zone)
-		}
-	}
-	for zone := range old.ZonesOut {
-		if !view.ZonesOut[zone] {
-			d.log.Info("zone returned", "zone", zone)
-		}
-	}
+}
+
+// logMoves tells of new orders to move a service's traffic.
+func (d *Directory) logMoves(old, view *catalog.View) {
 	for service, m := range view.Moves {
 		if before := old.Moves[service]; before == nil || before.Revision != m.Revision {
 			d.log.Info("move ordered", "service", service, "to", m.To, "duration_ms", m.Duration.Milliseconds())
 		}
 	}
-	for name, m := range view.Members {
-		if before, ok := old.Members[name]; !ok || before != m {
-			d.log.Info("member joined", "member", name, "incarnation", m.Incarnation)
-		}
-	}
-	for name := range old.Members {
-		if _, ok := view.Members[name]; !ok {
-			d.log.Info("member gone", "member", name)
-		}
-	}
 }
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -43,10 +43,10 @@
 	memoryShare = 0.9
 )
 
-// choose returns the cheapest target for a request. It reports false if none
-// may serve it at all.
-func (d *Dispatcher) choose(r *Request, now time.Time) (candidate, bool) {
-	best, some := candidate{cost: math.Inf(1)}, false
+// choose returns the cheapest target for a request, and the cheapest of those
+// with room now. It reports false if none may serve the request at all.
+func (d *Dispatcher) choose(r *Request, now time.Time) (best, free candidate, some bool) {
+	best.cost, free.cost = math.Inf(1), math.Inf(1)
 	for _, t := range d.services[r.Service] {
 		if !d.may(r, t, now) {
 			continue
@@ -55,8 +55,11 @@
 		if !some || c.cost < best.cost {
 			best, some = c, true
 		}
+		if c.ok && c.cost < free.cost {
+			free = c
+		}
 	}
-	return best, some
+	return best, free, some
 }
 
 // may reports whether a target may get a request, whatever its load.
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,278 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/zinniaquay/zinniaquay/internal/catalog"
+)
+
+const testService = "model"
+
+// testView returns a view with a number of targets and members.
+func testView(targets, members int) *catalog.View {
+	v := &catalog.View{
+		Config: &catalog.Configuration{
+			Services: map[string]*catalog.Service{testService: {Name: testService, ColdPerSecond: 13, MemoryTokens: 500000}},
+			Limits:   catalog.Limits{TokensPerSecond: 290000},
+		},
+		Targets: make(map[string]*catalog.Target), Members: make(map[string]catalog.Member), ZonesOut: map[string]bool{},
+	}
+	for i := range targets {
+		id := fmt.Sprintf("t-%d", i)
+		v.Targets[id] = &catalog.Target{ID: id, Service: testService, Addr: id + ":1", Zone: "a", Version: "v1", Slots: 64}
+	}
+	for i := range members {
+		name := fmt.Sprintf("edge-%d", i)
+		v.Members[name] = catalog.Member{Name: name}
+	}
+	return v
+}
+
+func testDispatcher(name string, v *catalog.View) *Dispatcher {
+	d := New(Limits{Self: name, Zone: "a", ShareWindow: testWindow, ColdOverage: 1.5, ColdTolerance: 5, MostQueued: 100})
+	d.SetView(v)
+	return d
+}
+
+// prompt returns a request of a prompt with a shared and an own part.
+func prompt(d *Dispatcher, account string, shared uint64, sharedTokens, ownTokens int, now time.Time) *Request {
+	sequence := d.NextSequence()
+	return &Request{
+		Sequence: sequence, Account: account, Service: testService, Arrived: now, Objective: 800 * time.Millisecond,
+		Deadline: now.Add(10 * time.Second), TokensIn: sharedTokens + ownTokens, TokensOut: 300,
+		Parts: []Part{{Key: shared, Tokens: sharedTokens}, {Key: 1<<60 + sequence, Tokens: ownTokens}},
+	}
+}
+
+// one decides on one request.
+func one(t *testing.T, d *Dispatcher, r *Request, now time.Time) Decision {
+	t.Helper()
+	if !d.Enqueue(r, now) {
+		t.Fatal("queue full")
+	}
+	decisions := d.Decide(now)
+	if len(decisions) != 1 {
+		t.Fatalf("%d decisions", len(decisions))
+	}
+	return decisions[0]
+}
+
+func TestPromptsThatShareAPartMeetAtOneTargetOfAllRouters(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	v := testView(12, 4)
+	for shared := range uint64(20) {
+		seen := map[string]bool{}
+		for router := range 4 {
+			d := testDispatcher(fmt.Sprintf("edge-%d", router), v)
+			for i := range 3 {
+				at := now.Add(time.Duration(i) * time.Second)
+				decision := one(t, d, prompt(d, "a", shared, 4800, 500, at), at)
+				seen[decision.Target] = true
+				d.Began(decision.Request.Sequence, at)
+				d.End(decision.Request.Sequence, Answered, at)
+			}
+		}
+		is.Equal(len(seen), 1)
+	}
+}
+
+func TestAHotPartSpillsOverBeforeItsTargetDelaysFirstTokens(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	d := testDispatcher("edge-0", testView(12, 1))
+	for range 10 { // more than one engine reads in time
+		is.True(d.Enqueue(prompt(d, "a", 7, 4800, 3000, now), now))
+	}
+	targets := map[string]int{}
+	for waited := time.Duration(0); waited < 400*time.Millisecond; waited += 5 * time.Millisecond {
+		for _, decision := range d.Decide(now.Add(waited)) {
+			is.Equal(decision.Verdict, Send)
+			is.True(waited+decision.Wait < 800*time.Millisecond)
+			targets[decision.Target]++
+		}
+	}
+	is.True(len(targets) > 1)
+	is.Equal(d.Queued(), 0)
+}
+
+func TestLongPromptsKeepOffTheEnginesOfOthers(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	d := testDispatcher("edge-0", testView(12, 4))
+	long, short := map[string]bool{}, map[string]bool{}
+	for i := range 24 {
+		at := now.Add(time.Duration(i) * 5 * time.Second)
+		decision := one(t, d, prompt(d, "a", uint64(i), 500, 30000, at), at)
+		long[decision.Target] = true
+		d.End(decision.Request.Sequence, Answered, at)
+		decision = one(t, d, prompt(d, "a", uint64(i), 500, 500, at), at)
+		short[decision.Target] = true
+		d.End(decision.Request.Sequence, Answered, at)
+	}
+	is.Equal(len(long), 2) // one in six
+	for target := range long {
+		is.True(!short[target])
+	}
+}
+
+func TestARequestGoesOnlyWhereItMay(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	v := testView(6, 1)
+	v.Targets["t-0"].Leaving = true
+	v.Targets["t-1"].Zone = "out"
+	v.ZonesOut["out"] = true
+	v.Targets["t-2"].Version = "v2"
+	d := testDispatcher("edge-0", v)
+	r := prompt(d, "a", 1, 100, 100, now)
+	r.Exclude, r.Versions = map[string]bool{"t-3": true}, Versions{Not: "v2"}
+	decision := one(t, d, r, now)
+	d.End(decision.Request.Sequence, Unreachable, now)
+	is.True(decision.Target == "t-4" || decision.Target == "t-5")
+	again := prompt(d, "a", 1, 100, 100, now)
+	again.Exclude, again.Versions = r.Exclude, r.Versions
+	other := one(t, d, again, now)
+	is.True(other.Target != decision.Target && (other.Target == "t-4" || other.Target == "t-5")) // it is down for now
+}
+
+func TestWhatCannotBeServedIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	d := testDispatcher("edge-0", testView(1, 1))
+	r := prompt(d, "a", 1, 100, 20000, now)
+	r.Deadline = now.Add(100 * time.Millisecond) // reading takes four times as long
+	for d.targets["t-0"].own.Running < 64 {
+		d.targets["t-0"].own.Running++
+	}
+	decision := one(t, d, r, now)
+	is.Equal(decision.Verdict, RefuseLate)
+	is.True(decision.RetryAfter > 0)
+}
+
+func TestARequestThatWaitsIsRefusedWhileItsCallerCanComeBack(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	d := testDispatcher("edge-0", testView(1, 1))
+	d.targets["t-0"].own.Running = 64
+	is.True(d.Enqueue(prompt(d, "a", 1, 100, 100, now), now))
+	is.Equal(len(d.Decide(now)), 0)
+	is.Equal(len(d.Decide(now.Add(300*time.Millisecond))), 0)
+	decisions := d.Decide(now.Add(800 * time.Millisecond))
+	is.Equal(len(decisions), 1)
+	is.Equal(decisions[0].Verdict, RefuseLate)
+	is.Equal(d.Queued(), 0)
+}
+
+func TestAWithdrawnRequestIsNotDecidedOn(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	d := testDispatcher("edge-0", testView(1, 1))
+	d.targets["t-0"].own.Running = 64
+	r := prompt(d, "a", 1, 100, 100, now)
+	is.True(d.Enqueue(r, now))
+	is.True(d.Withdraw(r.Sequence))
+	is.True(!d.Withdraw(r.Sequence))
+	is.Equal(len(d.Decide(now.Add(time.Hour))), 0)
+}
+
+func TestLoadsOfPeersCountUntilTheyFallSilent(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	v := testView(2, 2)
+	a, b := testDispatcher("edge-0", v), testDispatcher("edge-1", v)
+	for range 10 {
+		one(t, a, prompt(a, "x", 5, 100, 100, now), now)
+	}
+	b.Merge("edge-0", a.Report(true, now), now)
+	running := 0
+	for _, target := range b.targets {
+		running += target.running()
+	}
+	is.Equal(running, 10)
+	b.Forget(now.Add(peerSilence + time.Millisecond))
+	for _, target := range b.targets {
+		is.Equal(target.running(), 0)
+	}
+}
+
+// Whatever the size of the fleet and however views of it differ, no cold target
+// gets more in a second than it bears.
+func TestColdTargetsStayWithinTheirBoundOverTheFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		routers := rapid.IntRange(1, 40).Draw(t, "routers")
+		perSecond := rapid.IntRange(1, 400).Draw(t, "requests")
+		now := time.Unix(1000, 0)
+		var fleet []*Dispatcher
+		for i := range routers {
+			// Half of the routers know of an earlier fleet whose members are gone.
+			v := testView(1, routers)
+			v.Targets["t-0"].ColdUntil = now.Add(time.Hour)
+			if i%2 == 1 {
+				v.Members = map[string]catalog.Member{fmt.Sprintf("edge-%d", i): {}}
+				for j := range routers {
+					v.Members[fmt.Sprintf("old-%d", j)] = catalog.Member{}
+				}
+			}
+			fleet = append(fleet, testDispatcher(fmt.Sprintf("edge-%d", i), v))
+		}
+		var sent []time.Time
+		for n := range 3 * perSecond {
+			at := now.Add(time.Duration(n) * time.Second / time.Duration(perSecond))
+			d := fleet[rapid.IntRange(0, routers-1).Draw(t, "router")]
+			r := prompt(d, "a", 1, 10, 10, at)
+			d.Enqueue(r, at)
+			for _, decision := range d.Decide(at) {
+				if decision.Verdict == Send {
+					sent = append(sent, at)
+					d.End(decision.Request.Sequence, Answered, at)
+				}
+			}
+		}
+		const bound = 13*1.5 + 5
+		for i := range sent {
+			within := 0
+			for j := i; j < len(sent) && sent[j].Sub(sent[i]) < time.Second; j++ {
+				within++
+			}
+			if float64(within) > bound {
+				t.Fatalf("%d requests in a second, bound %.1f", within, bound)
+			}
+		}
+	})
+}
+
+func TestPartsAreForgottenLeastRecentlyUsedFirst(t *testing.T) {
+	is := is.New(t)
+	k := newKeptParts(1000)
+	k.use([]Part{{1, 400}, {2, 400}})
+	is.Equal(k.kept([]Part{{1, 400}, {2, 400}, {3, 10}}), 800)
+	is.Equal(k.kept([]Part{{9, 400}, {2, 400}}), 0) // counts only behind the parts before it
+	k.use([]Part{{1, 400}, {4, 300}})
+	is.Equal(k.kept([]Part{{1, 400}, {2, 400}}), 400) // 2 gave way
+}
+
+func TestHealthLeavesUnreachableTargetsAloneForLongerAndLonger(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var h health
+	var last time.Duration
+	for range 6 {
+		h.note(Unreachable, now)
+		is.True(h.down(now))
+		is.True(h.downUntil.Sub(now) >= last)
+		last = h.downUntil.Sub(now)
+		now = h.downUntil
+		is.True(!h.down(now))
+	}
+	is.Equal(last, longestDown)
+	for range 200 {
+		h.note(Answered, now)
+	}
+	is.True(h.badShare() < 0.01)
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -168,7 +168,7 @@
 
 // decide decides on one request, or leaves it waiting.
 func (d *Dispatcher) decide(r *Request, now time.Time) (Decision, bool) {
-	c, some := d.choose(r, now)
+	c, free, some := d.choose(r, now)
 	if !some {
 		if d.hopeless(r, now) {
 			return Decision{Request: r, Verdict: RefuseNoTarget, RetryAfter: retryNoTarget}, true
@@ -178,6 +178,9 @@
 	if c.ok && d.admits(r, c, now) {
 		return d.place(r, c, now), true
 	}
+	if free.ok && d.spills(r, now) && d.admits(r, free, now) {
+		return d.place(r, free, now), true
+	}
 	if d.tooLate(r, c, now) {
 		return Decision{Request: r, Verdict: RefuseLate, Wait: c.first, RetryAfter: d.retryAfter(c)}, true
 	}
--- a/internal/dispatch/refuse.go
+++ b/internal/dispatch/refuse.go
@@ -6,6 +6,9 @@
 	// patience is the part of its objective for which a request waits for room.
 	// A refusal after that still leaves the caller time to come back.
 	patience = 0.75
+	// spillAfter is the part of its objective after which a request goes to a
+	// target that does not keep its parts.
+	spillAfter = 0.3
 	// lateLoad is the part of a target's places up to which requests that can
 	// only be late are served beside those that are on time.
 	lateLoad = 0.8
@@ -38,6 +41,12 @@
 	return c.wait <= lateWait && float64(c.target.running()) <= lateLoad*float64(c.target.Slots)
 }
 
+// spills reports whether a request has waited long enough for the target that
+// suits it best to go to another with room.
+func (d *Dispatcher) spills(r *Request, now time.Time) bool {
+	return r.order.spare == 0 && now.Sub(r.Arrived) >= time.Duration(spillAfter*float64(r.Objective))
+}
+
 // spares reports whether a target has spare capacity for an account that has had
 // its share: the less, the more the account had beside the least served of those
 // that compete for it, so that all of them get the same.
