Make decisions cheaper: preferred targets and engines for long prompts once

With 43 targets each request that waited was weighed by 43 x 43 comparisons every 5 ms, more than a small host's processor. Both are now computed once, a decision looks at 48 requests, and rests eight times as long as it took.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -91,7 +93,7 @@
 	c.first = ms(waitMS+readMS) + stepTime
 	c.cost = waitMS + readMS + badCost*t.health.badShare() +
 		crowdCost*float64(t.running())/float64(t.Slots)
-	c.cost += longPromptCost(r.TokensIn-c.kept, d.takesLong(t))
+	c.cost += longPromptCost(r.TokensIn-c.kept, t.takesLong)
 	if t.Zone != d.limits.Zone {
 		c.cost += zoneCost
 	}
@@ -150,17 +152,20 @@
 	return 0
 }
 
-// takesLong reports whether a target takes long prompts: one in longEvery of a
-// service, by an order that all routers share.
-func (d *Dispatcher) takesLong(t *target) bool {
-	targets := d.services[t.Service]
-	ahead, wanted := 0, (len(targets)+longEvery/2)/longEvery
-	for _, o := range targets {
-		if o != t && !o.Leaving && mix(o.key) > mix(t.key) {
-			ahead++
+// markLong marks the targets of a service that take long prompts: one in
+// longEvery, by an order that all routers share.
+func markLong(targets []*target) {
+	ready := make([]*target, 0, len(targets))
+	for _, t := range targets {
+		t.takesLong = false
+		if !t.Leaving {
+			ready = append(ready, t)
 		}
 	}
-	return ahead < wanted
+	slices.SortFunc(ready, func(a, b *target) int { return cmp.Compare(mix(b.key), mix(a.key)) })
+	for _, t := range ready[:min(len(ready), (len(targets)+longEvery/2)/longEvery)] {
+		t.takesLong = true
+	}
 }
 
 // sharedTokens returns the length of the parts that other requests may share:
@@ -181,14 +186,16 @@
 // prompts that share the request's parts: the first in rendezvous order of the
 // last shared part.
 func (d *Dispatcher) preferred(r *Request, t *target) bool {
-	shared := r.Parts[len(r.Parts)-2].Key
-	own := mix(shared ^ t.key)
-	for _, o := range d.services[r.Service] {
-		if o != t && !o.Leaving && mix(shared^o.key) > own {
-			return false
+	if r.preferredOf != d.generation {
+		r.preferredOf, r.preferred = d.generation, nil
+		shared, best := r.Parts[len(r.Parts)-2].Key, uint64(0)
+		for _, o := range d.services[r.Service] {
+			if score := mix(shared ^ o.key); !o.Leaving && (r.preferred == nil || score > best) {
+				r.preferred, best = o, score
+			}
 		}
 	}
-	return true
+	return r.preferred == t
 }
 
 // mix is the finalizer of splitmix64 (Steele, Lea and Flood, 2014).
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -37,6 +37,8 @@
 	peers    map[string]*peer
 	shared   time.Time
 	serial   uint64
+	// generation rises with each view.
+	generation uint64
 }
 
 // placement is a request that was sent and has not ended.
@@ -75,7 +77,9 @@
 		d.byShort[own.short] = own
 		d.services[t.Service] = append(d.services[t.Service], own)
 	}
+	d.generation++
 	for _, targets := range d.services {
+		markLong(targets)
 		slices.SortFunc(targets, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	d.sumPeers()
@@ -125,6 +129,10 @@
 // Running returns the number of requests that were sent and have not ended.
 func (d *Dispatcher) Running() int { return len(d.placed) }
 
+// mostConsidered is the number of waiting requests, the first in order, that one
+// decision looks at; those behind them get no room before them.
+const mostConsidered = 48
+
 // shareEvery is the pause between two computations of the accounts' shares.
 const shareEvery = 50 * time.Millisecond
 
@@ -140,7 +148,11 @@
 	d.sortQueue(now)
 	var decisions []Decision
 	waiting := d.queue[:0]
-	for _, r := range d.queue {
+	for i, r := range d.queue {
+		if i >= mostConsidered && now.Sub(r.Arrived) <= time.Duration(patience*float64(r.Objective)) {
+			waiting = append(waiting, r)
+			continue
+		}
 		decision, decided := d.decide(r, now)
 		if !decided {
 			waiting = append(waiting, r)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -41,6 +41,10 @@
 	Resume bool
 
 	order orderKey
+	// preferred is the target that all routers prefer for the request's parts, in
+	// the generation of targets preferredOf.
+	preferred   *target
+	preferredOf uint64
 }
 
 // Versions says which versions of targets may run a request; the zero value
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -41,8 +41,9 @@
 	cold   bucket
 	// peersAt is when a peer last reported on the target.
 	peersAt time.Time
-	// lastSent is when a request was last sent, and lastFirst when one last
-	// began to answer.
+	// takesLong says that long prompts go to this target.
+	takesLong bool
+	// lastFirst is when a request last began to answer.
 	lastFirst time.Time
 }
 
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -111,17 +111,27 @@
 			return
 		case <-s.wake:
 		}
-		for s.again() && wait.For(ctx, decideEvery) {
+		for {
+			took, more := s.again()
+			if !more || !wait.For(ctx, max(decideEvery, restFactor*took)) {
+				break
+			}
 		}
 	}
 }
 
-// again decides on all that wait. It reports whether some wait on.
-func (s *scheduler) again() bool {
+// restFactor is how many times as long as a decision took the pause after it is
+// at least, so that decisions never take most of a small host's processor.
+const restFactor = 8
+
+// again decides on all that wait. It returns how long that took and whether some
+// wait on.
+func (s *scheduler) again() (took time.Duration, more bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.decide(time.Now())
-	return s.dispatcher.Queued() > 0
+	started := time.Now()
+	s.decide(started)
+	return time.Since(started), s.dispatcher.Queued() > 0
 }
 
 // forget drops peers that fell silent.
