Refuse part of the requests while the processor is short

A late timer now makes the process refuse a part at once, say that it is not ready, and ask callers to reconnect. Its memory has a soft limit, too (one process had ended over its limit).

--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -55,6 +55,8 @@
 type Dialect interface {
 	// Decode reads the headers of a caller's request.
 	Decode(h http.Header) (Attempt, error)
+	// RequestID reads the ID of a caller's request alone.
+	RequestID(h http.Header) string
 	// Outgoing returns the headers for a target.
 	Outgoing(from http.Header, o Onward) http.Header
 	// Answer reads the headers of a target's answer.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 
 	"github.com/zinniaquay/zinniaquay/internal/catalog"
 	"github.com/zinniaquay/zinniaquay/internal/dispatch"
@@ -34,6 +35,8 @@
 	moves     *moves
 	bodies    *bodyBudget
 	stopping  stopping
+	overload  *overload
+	lines     *rate.Limiter
 	log       logr.Logger
 	counts    counts
 }
@@ -82,14 +85,20 @@
 			Self: s.Name, Zone: s.Zone, ShareWindow: s.Bounds.ShareWindow,
 			ColdOverage: s.Bounds.ColdOverage, ColdTolerance: s.Bounds.ColdTolerance, MostQueued: mostQueued,
 		}),
-		pool:    upstream.NewPool(registry),
-		retries: newRetryBudgets(s.Bounds),
-		moves:   newMoves(s.Name, s.Bounds.ExposureFraction),
-		bodies:  &bodyBudget{left: s.MemoryBytes / bodyShare},
-		counts:  newCounts(registry),
+		pool:     upstream.NewPool(registry),
+		retries:  newRetryBudgets(s.Bounds),
+		moves:    newMoves(s.Name, s.Bounds.ExposureFraction),
+		bodies:   &bodyBudget{left: s.MemoryBytes / bodyShare},
+		overload: newOverload(registry, log),
+		lines:    rate.NewLimiter(mostRefusalLines, mostRefusalLines),
+		counts:   newCounts(registry),
 	}
 }
 
+// mostRefusalLines is the number of lines a second that tell of refusals; the
+// others are counted only.
+const mostRefusalLines = 50
+
 // mostQueued is the number of requests that wait in one gateway at most; each
 // holds its body and a few kilobytes.
 const mostQueued = 2000
@@ -130,10 +139,14 @@
 	x := &call{w: w, r: r, ctx: r.Context(), started: time.Now(), tried: make(map[string]bool)}
 	g.stopping.begin()
 	defer g.stopping.end()
-	if g.stopping.closing() {
+	if g.stopping.closing() || !g.overload.ready() {
+		// The caller comes back by a connection to another process.
 		w.Header().Set("Connection", "close")
 	}
-	err := g.read(x)
+	err := g.shed(x)
+	if err == nil {
+		err = g.read(x)
+	}
 	if err == nil {
 		defer g.bodies.give(int64(len(x.body)))
 		err = g.admit(x)
@@ -147,6 +160,15 @@
 	g.finish(x, err)
 }
 
+// shed refuses a request that there is no processor time for.
+func (g *Gateway) shed(x *call) error {
+	if !g.overload.refuses() {
+		return nil
+	}
+	x.attempt.ID = g.dialect.RequestID(x.r.Header)
+	return &refusal{errkind.New(errkind.QueueFull, "the process has too much to do"), retryShed}
+}
+
 // finish answers a request that failed before its answer had begun, and breaks
 // the connection of one whose answer can't be completed.
 func (g *Gateway) finish(x *call, err error) {
@@ -157,7 +179,9 @@
 	}
 	kind := errkind.Of(err)
 	g.counts.ended(string(kind))
-	g.logEnd(x, err)
+	if !kind.Answer().NotRun || g.lines.Allow() {
+		g.logEnd(x, err)
+	}
 	if x.relay.begun {
 		panic(http.ErrAbortHandler)
 	}
--- /dev/null
+++ b/internal/gateway/overload.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/zinniaquay/zinniaquay/internal/telemetry"
+)
+
+// overload tells whether the process gets too little processor time for what
+// callers ask: a timer that fires late means that requests wait for a turn too.
+// It answers loads that the platform spreads without regard to the size of
+// hosts. Part of the requests is then refused before anything is done for them.
+type overload struct {
+	log logr.Logger
+	lag metrics.Gauge
+	// part is the part of the requests that is refused, in thousandths.
+	part atomic.Int64
+	// until is when the process takes connections again, Unix ns by the
+	// monotonic clock of started.
+	until   atomic.Int64
+	started time.Time
+}
+
+const (
+	// probeEvery is the pause between two measurements of the lag.
+	probeEvery = 50 * time.Millisecond
+	// lagMemory is the part of the smoothed lag that a measurement replaces.
+	lagMemory = 0.3
+	// mostLag is the smoothed lag from which requests are refused, a tenth of the
+	// shortest objectives; below calmLag they are taken again.
+	mostLag = 40 * time.Millisecond
+	calmLag = 15 * time.Millisecond
+	// partUp and partDown are the steps of the part refused, in thousandths.
+	partUp, partDown = 80, 25
+	// mostPart leaves some requests, so that the lag shows when load falls.
+	mostPart = 950
+	// notReadyPart is the part refused from which the process takes no new
+	// connections, and notReadyFor how long after that.
+	notReadyPart = 200
+	notReadyFor  = 3 * time.Second
+)
+
+func newOverload(registry metrics.Registry, log logr.Logger) *overload {
+	return &overload{
+		log: log, lag: metrics.GetOrRegisterGauge(telemetry.Name("timer_lag_milliseconds"), registry), started: time.Now(),
+	}
+}
+
+// run measures the lag until the context ends.
+func (o *overload) run(ctx context.Context) {
+	ticker := time.NewTicker(probeEvery)
+	defer ticker.Stop()
+	last, smooth := time.Now(), 0.0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		smooth += lagMemory * (float64(max(0, now.Sub(last)-probeEvery)) - smooth)
+		last = now
+		o.lag.Update(time.Duration(smooth).Milliseconds())
+		o.step(time.Duration(smooth), now)
+	}
+}
+
+// step changes the part that is refused by the smoothed lag.
+func (o *overload) step(lag time.Duration, now time.Time) {
+	before := o.part.Load()
+	part := before
+	switch {
+	case lag > mostLag:
+		part = min(mostPart, part+partUp)
+	case lag < calmLag:
+		part = max(0, part-partDown)
+	}
+	o.part.Store(part)
+	if part >= notReadyPart {
+		o.until.Store(int64(now.Add(notReadyFor).Sub(o.started)))
+	}
+	if (before == 0) != (part == 0) {
+		o.log.Info("processor short", "short", part > 0, "lag_ms", lag.Milliseconds())
+	}
+}
+
+// refuses reports whether the next request is refused.
+func (o *overload) refuses() bool {
+	part := o.part.Load()
+	return part > 0 && rand.Int64N(1000) < part
+}
+
+// ready reports whether the process takes new connections.
+func (o *overload) ready() bool { return int64(time.Since(o.started)) >= o.until.Load() }
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,9 @@
 	// that operators configure are below.
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
+	// memoryShare is the part of the process's memory, in percent, from which
+	// garbage is collected more often.
+	memoryShare = 70
 	// maxHeaderBytes bounds the head of a request.
 	maxHeaderBytes = 64 << 10
 )
@@ -79,13 +83,14 @@
 	if err := p.exchange.Listen(); err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(p.settings.MemoryBytes * memoryShare / 100)
 	p.log.Info("started", "zone", p.settings.Zone, "callers", p.settings.CallerAddr, "metrics", p.settings.MetricsAddr,
 		"incarnation", p.self.Incarnation)
 
 	duties, end := context.WithCancel(context.Background())
 	var group conc.WaitGroup
 	for _, duty := range []func(context.Context){
-		p.directory.Follow, p.directory.Check, p.exchange.Receive, p.exchange.Send, p.gateway.scheduler.run,
+		p.directory.Follow, p.directory.Check, p.exchange.Receive, p.exchange.Send, p.gateway.scheduler.run, p.gateway.overload.run,
 		p.forget, p.sweep, p.tellOperator,
 	} {
 		group.Go(func() { duty(duties) })
@@ -206,7 +211,7 @@
 // Ready reports whether the process takes connections: it knows a
 // configuration, can confirm API keys and does not stop.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.closing() && g.knowledge.View().Config != nil && g.fresh() == nil
+	return !g.stopping.closing() && g.overload.ready() && g.knowledge.View().Config != nil && g.fresh() == nil
 }
 
 // Parts of the grace time of a planned stop.
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -43,6 +43,9 @@
 	retryFull = 500 * time.Millisecond
 	// retryElsewhere is for a process that can't serve while others can.
 	retryElsewhere = 50 * time.Millisecond
+	// retryShed is for a process without processor time; the caller's next
+	// connection leads to another.
+	retryShed = 100 * time.Millisecond
 	// retryTarget is for a target that did not run the request.
 	retryTarget = 150 * time.Millisecond
 )
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -45,6 +45,9 @@
 		return decision, g.gaveUp(x, "waiting for a target")
 	}
 	if decision.Verdict != dispatch.Send {
+		if !g.lines.Allow() {
+			return decision, refusalOf(x, decision)
+		}
 		g.log.Info("request refused", telemetry.KeyRequest, x.attempt.ID, "verdict", int(decision.Verdict),
 			"waited_ms", waited.Milliseconds(), "predicted_ms", decision.Wait.Milliseconds(), "queued", decision.Queued)
 		return decision, refusalOf(x, decision)
