--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -204,8 +204,8 @@
 	Zone string
 	// Addr is where peers reach it, IP:port.
 	Addr string
-	// Incarnation is new at each start.
-	Incarnation uint64
+	// Revision is that of the member's item.
+	Revision int64
 }
 
 // Route returns the route of a request, the one with the longest prefix.
--- a/internal/directory/changes.go
+++ b/internal/directory/changes.go
@@ -17,7 +17,7 @@
 	logSet(view.ZonesOut, old.ZonesOut, func(zone string) { d.log.Info("zone taken out", "zone", zone) })
 	logSet(old.ZonesOut, view.ZonesOut, func(zone string) { d.log.Info("zone returned", "zone", zone) })
 	logSet(view.Members, old.Members, func(name string) {
-		d.log.Info("member joined", "member", name, "incarnation", view.Members[name].Incarnation)
+		d.log.Info("member joined", "member", name, "addr", view.Members[name].Addr)
 	})
 	logSet(old.Members, view.Members, func(name string) { d.log.Info("member gone", "member", name) })
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -26,9 +26,11 @@
 const (
 	// watchWait is how long one watch waits; a waiting watch is one call.
 	watchWait = 20 * time.Second
-	// checkEvery is the pause between two checks of the watch. It is half of the
-	// shortest bound on new work at a leaving target.
-	checkEvery = time.Second
+	// checkEvery is the pause between two checks of the watch: with catchUp and
+	// the read after it, it fits into the two seconds within which a configuration
+	// must be in force. A check that fails is made again after checkAgain.
+	checkEvery = 1400 * time.Millisecond
+	checkAgain = 300 * time.Millisecond
 	// catchUp is how long a watch may lag behind a check before it counts as
 	// deaf.
 	catchUp = 300 * time.Millisecond
@@ -342,8 +344,7 @@
 // note keeps track of whether the store answers.
 func (d *Directory) note(err error) {
 	d.calls.Inc(1)
-	reachable := err == nil || errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrConflict) ||
-		errors.Is(err, platform.ErrLeaseEnded)
+	reachable := err == nil || errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrConflict)
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -365,7 +366,9 @@
 // Check confirms the view again and again until the context ends: a silent
 // watch proves nothing, but an answer that names the store's revision does.
 func (d *Directory) Check(ctx context.Context) {
-	for wait.For(ctx, checkEvery) {
+	pause := checkEvery
+	for wait.For(ctx, pause) {
+		pause = checkAgain
 		d.expire()
 		sent := clock.Boot()
 		_, at, err := d.store.Range(ctx, d.layout.Operator, d.layout.LargeItem)
@@ -375,6 +378,7 @@
 		}
 		if d.reached(ctx, at) {
 			d.confirm(sent)
+			pause = checkEvery
 			continue
 		}
 		d.log.Info("watch is behind", "revision", at)
--- a/internal/directory/register.go
+++ b/internal/directory/register.go
@@ -4,78 +4,63 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/zinniaquay/zinniaquay/internal/catalog"
 	"github.com/zinniaquay/zinniaquay/internal/platform"
 	"github.com/zinniaquay/zinniaquay/internal/wait"
 )
 
-// Times of a process's registration.
-const (
-	// leaseTTL is how long a member's item outlives its last renewal.
-	leaseTTL = 6 * time.Second
-	// renewEvery leaves two more tries before the lease ends.
-	renewEvery = 2 * time.Second
-	// endTimeout bounds the call that removes the item at a planned stop.
-	endTimeout = 300 * time.Millisecond
-)
-
-// Register keeps the process's own item in the store until the context ends,
-// and then removes it.
+// Register writes the process's own item, unless an earlier incarnation wrote
+// the same: each change of the store wakes every watch, and peers tell by their
+// reports which members live.
 func (d *Directory) Register(ctx context.Context, self catalog.Member) {
-	var lease int64
 	for {
-		var err error
-		if lease == 0 {
-			lease, err = d.join(ctx, self)
-		} else if err = d.store.Renew(ctx, lease); errors.Is(err, platform.ErrLeaseEnded) {
-			d.log.Info("lease ended", "lease", lease)
-			lease = 0
-			d.note(nil)
-			continue
-		}
-		if ctx.Err() != nil {
-			break
+		known, read := d.View().Members[self.Name], d.hasRead()
+		if read && known.Addr == self.Addr && known.Zone == self.Zone {
+			return
 		}
-		d.note(err)
-		pause := renewEvery
-		if err != nil && lease == 0 {
-			pause = retryPause
+		if read {
+			d.join(ctx, self, known.Revision)
 		}
-		if !wait.For(ctx, pause) {
-			break
+		if !wait.For(ctx, retryPause) {
+			return
 		}
 	}
-	d.leave(lease)
 }
 
-// join writes the process's item under a new lease.
-func (d *Directory) join(ctx context.Context, self catalog.Member) (int64, error) {
+// hasRead reports whether the store has been read once.
+func (d *Directory) hasRead() bool {
+	_, known := d.Age()
+	return known
+}
+
+// join writes the process's item.
+func (d *Directory) join(ctx context.Context, self catalog.Member, revision int64) {
 	value, err := d.decoder.EncodeMember(self)
 	if err != nil {
-		return 0, err
+		d.log.Error(err, "process not registered")
+		return
 	}
-	lease, err := d.store.Grant(ctx, leaseTTL)
+	key := d.layout.Member(self.Name)
+	conditions := []platform.Condition{{Key: key, Revision: revision}}
+	_, err = d.store.Commit(ctx, conditions, []platform.Write{{Key: key, Value: value}}, nil)
+	d.note(err)
 	if err != nil {
-		return 0, fmt.Errorf("grant lease: %w", err)
-	}
-	write := platform.Write{Key: d.layout.Member(self.Name), Value: value, LeaseID: lease}
-	if _, err := d.store.Commit(ctx, nil, []platform.Write{write}, nil); err != nil {
-		return 0, fmt.Errorf("write member: %w", err)
+		// The next round reads the view anew.
+		d.log.Info("process not registered yet", "cause", err.Error())
 	}
-	return lease, nil
 }
 
-func (d *Directory) leave(lease int64) {
-	if lease == 0 {
+// RemoveMember removes the item of a member that is gone for good.
+func (d *Directory) RemoveMember(ctx context.Context, m catalog.Member) {
+	key := d.layout.Member(m.Name)
+	_, err := d.store.Commit(ctx, []platform.Condition{{Key: key, Revision: m.Revision}}, nil, []string{key})
+	d.note(err)
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		d.log.Info("silent member kept", "member", m.Name, "cause", err.Error())
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
-	defer cancel()
-	if err := d.store.End(ctx, lease); err != nil {
-		d.log.Info("lease left to end by itself", "lease", lease, "cause", err.Error())
-	}
+	d.log.Info("silent member removed", "member", m.Name)
 }
 
 // WriteStatus tells the operator of a service's move, unless the status was
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -32,6 +33,10 @@
 	// slowest is the longest, whatever the size of the fleet: a round reaches a
 	// part of the peers then.
 	slowest = time.Second
+	// silentAfter is the silence after which a peer is told more rarely: in one of
+	// probeRounds rounds.
+	silentAfter = 5 * time.Second
+	probeRounds = 8
 	// slowEvery is the pause between two tellings of what changes slowly.
 	slowEvery = time.Second
 	// datagramBytes bounds a report; larger ones are cut down by their sender.
@@ -55,13 +60,15 @@
 
 // Exchange sends and receives the reports of one process.
 type Exchange struct {
-	self     catalog.Member
-	source   Source
-	members  func() map[string]catalog.Member
-	log      logr.Logger
-	sent     metrics.Counter
-	received metrics.Counter
-	bytes    metrics.Counter
+	self        catalog.Member
+	incarnation uint32
+	started     time.Time
+	source      Source
+	members     func() map[string]catalog.Member
+	log         logr.Logger
+	sent        metrics.Counter
+	received    metrics.Counter
+	bytes       metrics.Counter
 
 	conn *net.UDPConn
 
@@ -76,13 +83,17 @@
 }
 
 // version orders the reports of a peer.
-type version struct{ incarnation, sequence uint32 }
+type version struct {
+	incarnation, sequence uint32
+	at                    time.Time
+}
 
 // New returns an exchange for a process.
 func New(self catalog.Member, source Source, members func() map[string]catalog.Member, registry metrics.Registry,
 	log logr.Logger) *Exchange {
 	return &Exchange{
-		self: self, source: source, members: members, log: log, heard: make(map[uint32]version),
+		self: self, incarnation: rand.Uint32(), started: time.Now(), source: source, members: members, log: log,
+		heard:    make(map[uint32]version),
 		sent:     metrics.GetOrRegisterCounter(telemetry.Name("peer_reports_sent_total"), registry),
 		received: metrics.GetOrRegisterCounter(telemetry.Name("peer_reports_received_total"), registry),
 		bytes:    metrics.GetOrRegisterCounter(telemetry.Name("peer_bytes_sent_total"), registry),
@@ -133,7 +144,7 @@
 	if r.GetSender() == Hash(e.self.Name) {
 		return
 	}
-	v := version{r.GetIncarnation(), r.GetSequence()}
+	v := version{r.GetIncarnation(), r.GetSequence(), time.Now()}
 	e.mu.Lock()
 	old := e.heard[r.GetSender()]
 	// Incarnations have no order; a report of an earlier one is overtaken by the
@@ -168,7 +179,7 @@
 // round sends one report to as many peers as the budget allows and returns the
 // time until the next round.
 func (e *Exchange) round(sequence uint32) time.Duration {
-	peers := e.peers()
+	peers := e.peers(sequence%probeRounds == 0)
 	if len(peers) == 0 {
 		return fastest
 	}
@@ -176,7 +187,7 @@
 		e.slowAt, e.slowLeft = time.Now(), len(peers)
 	}
 	r := e.source.Report(e.slowLeft > 0)
-	r.Sender, r.Incarnation, r.Sequence = Hash(e.self.Name), uint32(e.self.Incarnation), sequence
+	r.Sender, r.Incarnation, r.Sequence = Hash(e.self.Name), e.incarnation, sequence
 	data, err := proto.Marshal(r)
 	if err != nil {
 		e.log.Error(err, "report not sent")
@@ -210,11 +221,23 @@
 	e.sent.Inc(1)
 }
 
-// peers returns the addresses of the other members, in a lasting order.
-func (e *Exchange) peers() []netip.AddrPort {
+// Silence returns how long a member has not been heard; since the process's own
+// start if never.
+func (e *Exchange) Silence(name string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if v, ok := e.heard[Hash(name)]; ok {
+		return time.Since(v.at)
+	}
+	return time.Since(e.started)
+}
+
+// peers returns the addresses of the other members, in a lasting order; those
+// that are silent only if all is true.
+func (e *Exchange) peers(all bool) []netip.AddrPort {
 	var peers []netip.AddrPort
 	for name, m := range e.members() {
-		if name == e.self.Name {
+		if name == e.self.Name || !all && e.Silence(name) > silentAfter {
 			continue
 		}
 		addr, err := netip.ParseAddrPort(m.Addr)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,7 +89,7 @@
 		retries:  newRetryBudgets(s.Bounds),
 		moves:    newMoves(s.Name, s.Bounds.ExposureFraction),
 		bodies:   &bodyBudget{left: s.MemoryBytes / bodyShare},
-		overload: newOverload(registry, log),
+		overload: newOverload(s.MostLag, registry, log),
 		lines:    rate.NewLimiter(mostRefusalLines, mostRefusalLines),
 		counts:   newCounts(registry),
 	}
@@ -185,7 +185,7 @@
 	if x.relay.begun {
 		panic(http.ErrAbortHandler)
 	}
-	if x.r.Context().Err() != nil {
+	if kind == errkind.Canceled || x.r.Context().Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
 	g.refuse(x, err)
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -25,6 +25,8 @@
 	// monotonic clock of started.
 	until   atomic.Int64
 	started time.Time
+	// most is the smoothed lag from which requests are refused.
+	most time.Duration
 }
 
 const (
@@ -32,10 +34,10 @@
 	probeEvery = 50 * time.Millisecond
 	// lagMemory is the part of the smoothed lag that a measurement replaces.
 	lagMemory = 0.3
-	// mostLag is the smoothed lag from which requests are refused, a tenth of the
-	// shortest objectives; below calmLag they are taken again.
-	mostLag = 40 * time.Millisecond
-	calmLag = 15 * time.Millisecond
+	// DefaultMostLag is the smoothed lag from which requests are refused, a tenth
+	// of the shortest objectives; below a part of it they are taken again.
+	DefaultMostLag = 40 * time.Millisecond
+	calmPart       = 0.4
 	// partUp and partDown are the steps of the part refused, in thousandths.
 	partUp, partDown = 80, 25
 	// mostPart leaves some requests, so that the lag shows when load falls.
@@ -46,9 +48,12 @@
 	notReadyFor  = 3 * time.Second
 )
 
-func newOverload(registry metrics.Registry, log logr.Logger) *overload {
+func newOverload(most time.Duration, registry metrics.Registry, log logr.Logger) *overload {
+	if most == 0 {
+		most = DefaultMostLag
+	}
 	return &overload{
-		log: log, lag: metrics.GetOrRegisterGauge(telemetry.Name("timer_lag_milliseconds"), registry), started: time.Now(),
+		most: most, log: log, lag: metrics.GetOrRegisterGauge(telemetry.Name("timer_lag_milliseconds"), registry), started: time.Now(),
 	}
 }
 
@@ -76,9 +81,9 @@
 	before := o.part.Load()
 	part := before
 	switch {
-	case lag > mostLag:
+	case lag > o.most:
 		part = min(mostPart, part+partUp)
-	case lag < calmLag:
+	case lag < time.Duration(calmPart*float64(o.most)):
 		part = max(0, part-partDown)
 	}
 	o.part.Store(part)
--- /dev/null
+++ b/internal/gateway/overload_test.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+)
+
+func TestAProcessWithoutProcessorTimeRefusesAndRecovers(t *testing.T) {
+	is := is.New(t)
+	o := newOverload(0, metrics.NewRegistry(), logr.Discard())
+	now := o.started
+	is.True(!o.refuses())
+	is.True(o.ready())
+	for range 20 {
+		now = now.Add(probeEvery)
+		o.step(200*time.Millisecond, now)
+	}
+	is.Equal(o.part.Load(), int64(mostPart)) // never all
+	is.True(!o.ready())
+	refused := 0
+	for range 1000 {
+		if o.refuses() {
+			refused++
+		}
+	}
+	is.True(refused > 850 && refused < 1000)
+	o.step(30*time.Millisecond, now) // between the bounds nothing changes
+	is.Equal(o.part.Load(), int64(mostPart))
+	for range 50 {
+		now = now.Add(probeEvery)
+		o.step(time.Millisecond, now)
+	}
+	is.True(!o.refuses())
+}
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -29,6 +29,10 @@
 	forgetEvery = 500 * time.Millisecond
 	// sweepEvery is the pause between two sweeps of idle connections.
 	sweepEvery = time.Second
+	// pruneEvery is the pause between two looks for members that are gone, and
+	// goneAfter the silence after which one is: longer than any restart.
+	pruneEvery = 10 * time.Second
+	goneAfter  = time.Minute
 	// statusEvery is the pause between two looks at what the operator is to be
 	// told.
 	statusEvery = 500 * time.Millisecond
@@ -58,7 +62,7 @@
 func NewProcess(s Settings, store platform.Store, decoder directory.Decoder, dialect Dialect, registry metrics.Registry,
 	log logr.Logger) *Process {
 	p := &Process{settings: s, log: log, registry: registry}
-	p.self = catalog.Member{Name: s.Name, Zone: s.Zone, Addr: s.PeerAddr, Incarnation: uint64(time.Now().UnixNano())}
+	p.self = catalog.Member{Name: s.Name, Zone: s.Zone, Addr: s.PeerAddr}
 	p.directory = directory.New(store, decoder, func(v *catalog.View) { p.gateway.SetView(v) }, registry, log)
 	p.gateway = New(s, dialect, p.directory, registry, log)
 	p.exchange = exchange.New(p.self, p.gateway,
@@ -84,18 +88,17 @@
 		return err
 	}
 	debug.SetMemoryLimit(p.settings.MemoryBytes * memoryShare / 100)
-	p.log.Info("started", "zone", p.settings.Zone, "callers", p.settings.CallerAddr, "metrics", p.settings.MetricsAddr,
-		"incarnation", p.self.Incarnation)
+	p.log.Info("started", "zone", p.settings.Zone, "callers", p.settings.CallerAddr, "metrics", p.settings.MetricsAddr)
 
 	duties, end := context.WithCancel(context.Background())
 	var group conc.WaitGroup
 	for _, duty := range []func(context.Context){
 		p.directory.Follow, p.directory.Check, p.exchange.Receive, p.exchange.Send, p.gateway.scheduler.run, p.gateway.overload.run,
-		p.forget, p.sweep, p.tellOperator,
+		p.forget, p.sweep, p.tellOperator, p.prune,
 	} {
 		group.Go(func() { duty(duties) })
 	}
-	group.Go(func() { p.directory.Register(ctx, p.self) })
+	group.Go(func() { p.directory.Register(duties, p.self) })
 	servers := []*http.Server{p.serveReady(ready, &group), p.serveMetrics(shown, &group)}
 	caller := p.serveCallers(callers, &group)
 
@@ -174,6 +177,29 @@
 	}
 }
 
+// prune removes members that have been silent for long, unless all are: then it
+// is this process that is cut off.
+func (p *Process) prune(ctx context.Context) {
+	for wait.For(ctx, pruneEvery) {
+		var silent []catalog.Member
+		hears := false
+		for name, m := range p.directory.View().Members {
+			switch silence := p.exchange.Silence(name); {
+			case name == p.self.Name:
+			case silence > goneAfter:
+				silent = append(silent, m)
+			case silence < pruneEvery:
+				hears = true
+			}
+		}
+		for _, m := range silent {
+			if hears {
+				p.directory.RemoveMember(ctx, m)
+			}
+		}
+	}
+}
+
 // tellOperator writes the states of moves. One process writes first; the others
 // find its status in their views.
 func (p *Process) tellOperator(ctx context.Context) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -88,6 +88,9 @@
 // recheck admits a request again that waited while the configuration changed or
 // the process stood still.
 func (g *Gateway) recheck(x *call) error {
+	if callerLeft(x.r.Context()) {
+		return errkind.New(errkind.Canceled, "the caller left while the request waited")
+	}
 	if x.relay.begun {
 		return nil
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -28,7 +28,10 @@
 	// connections that it may have open.
 	MemoryBytes int64
 	Descriptors int
-	Bounds      Bounds
+	// MostLag is the delay of timers from which the process refuses requests for
+	// want of processor time; 0 stands for DefaultMostLag.
+	MostLag time.Duration
+	Bounds  Bounds
 }
 
 // Bounds are the figures of the rules that the fleet keeps.
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -12,8 +12,6 @@
 	ErrCompacted = errors.New("history is gone")
 	// ErrConflict means that a condition of a transaction did not hold.
 	ErrConflict = errors.New("condition does not hold")
-	// ErrLeaseEnded means that a lease has ended.
-	ErrLeaseEnded = errors.New("lease has ended")
 )
 
 // Item is a key of the store with its value.
@@ -37,15 +35,14 @@
 	Revision int64
 }
 
-// Write is one key to be written, under a lease unless LeaseID is 0.
+// Write is one key to be written.
 type Write struct {
-	Key     string
-	Value   []byte
-	LeaseID int64
+	Key   string
+	Value []byte
 }
 
 // Store is a key-value service with one revision counter, ranges, watches of
-// prefixes, transactions and leases.
+// prefixes and transactions.
 type Store interface {
 	// Range returns all items of a prefix whose key comes after the given one,
 	// and the store's revision. Its pages are no snapshot.
@@ -55,10 +52,4 @@
 	// Commit writes and removes keys if all conditions hold, and returns the
 	// revision of the change.
 	Commit(ctx context.Context, conditions []Condition, writes []Write, removes []string) (int64, error)
-	// Grant returns a new lease.
-	Grant(ctx context.Context, ttl time.Duration) (int64, error)
-	// Renew renews a lease.
-	Renew(ctx context.Context, lease int64) error
-	// End ends a lease and removes its keys.
-	End(ctx context.Context, lease int64) error
 }
