--- a/bench/gateway/gateway_test.go
+++ b/bench/gateway/gateway_test.go
@@ -48,7 +48,7 @@
 		Name: "edge-1", Zone: "a", CallerAddr: freeAddr(b), ReadyAddr: freeAddr(b), ReadyPath: platform.ReadyPath,
 		PeerAddr: freeAddr(b), MetricsAddr: freeAddr(b), StoreAddr: d.StoreAddr, MemoryBytes: 64 << 20, Descriptors: 1000,
 		MostLag: time.Minute, // the machine of the test may be busy
-		Bounds: gateway.Bounds{Grace: time.Second, RevokeWithin: time.Minute, RetryRatio: 0.2, RetrySlack: 50,
+		Bounds: gateway.Bounds{Grace: time.Second, RevokeWithin: time.Minute, LeaveWithin: 2 * time.Second, RetryRatio: 0.2, RetrySlack: 50,
 			RetryWindow: 10 * time.Second, ExposureFraction: 0.1, ColdOverage: 1.5, ColdTolerance: 5, ShareWindow: 4 * time.Second},
 	}
 	registry := metrics.NewRegistry()
@@ -62,7 +62,9 @@
 	go func() { ended <- p.Run(ctx) }()
 	b.Cleanup(func() {
 		stop()
-		<-ended
+		if err := <-ended; err != nil {
+			b.Error(err)
+		}
 		_ = d.Close(context.Background())
 	})
 	for {
--- a/cmd/zinniaquay/demo.go
+++ b/cmd/zinniaquay/demo.go
@@ -25,16 +25,19 @@
 			"prints commands to try, and serves until SIGINT or SIGTERM.",
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			d, err := demo.Find(deployment)
-			if err != nil {
-				return usage(err)
-			}
 			log, err := telemetry.NewLogger(cmd.ErrOrStderr(), logLevel, "demo")
 			if err != nil {
 				return usage(err)
 			}
 			ctx, stop := untilSignal(cmd)
 			defer stop()
+			if deployment == platformDemo {
+				return runPlatformDemo(ctx, callerAddr, cmd.OutOrStdout(), log)
+			}
+			d, err := demo.Find(deployment)
+			if err != nil {
+				return usage(err)
+			}
 			fleet, err := demo.Start(ctx, demo.Options{Deployment: d, CallerAddr: callerAddr, OperatorAddr: operatorAddr, Log: log})
 			if err != nil {
 				return fmt.Errorf("start demo: %w", err)
@@ -46,11 +49,11 @@
 			return err
 		},
 	}
-	cmd.Flags().StringVar(&deployment, "deployment", "zilina", "deployment to play: "+strings.Join(demo.Names(), " or "))
+	cmd.Flags().StringVar(&deployment, "deployment", "zilina", "deployment to play: "+strings.Join(append(demo.Names(), platformDemo), " or "))
 	cmd.Flags().StringVar(&callerAddr, "caller-addr", "127.0.0.1:8080", "address (IP:port) for callers")
 	cmd.Flags().StringVar(&operatorAddr, "operator-addr", "127.0.0.1:8081", "address (IP:port) for operators")
 	cmd.Flags().StringVar(&logLevel, "log-level", "error", "level of logs: debug, info or error")
-	complete(cmd, "deployment", demo.Names()...)
+	complete(cmd, "deployment", append(demo.Names(), platformDemo)...)
 	complete(cmd, "log-level", "debug", "info", "error")
 	return cmd
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -90,7 +90,10 @@
 	// lastGood is when a call last succeeded, and returned when the store last
 	// came back after an outage.
 	lastGood, returned time.Time
-	away               bool
+	// returnedAt is the store's revision when it came back; 0 until it is told.
+	// What was removed later did not lapse.
+	returnedAt int64
+	away               atomic.Bool
 	// unreadable holds the revisions of items that were reported as unreadable.
 	unreadable map[string]int64
 	resync     chan struct{}
@@ -141,6 +144,9 @@
 	return clock.Boot() - time.Duration(at), true
 }
 
+// Away reports whether the store does not answer.
+func (d *Directory) Away() bool { return d.away.Load() }
+
 // Follow keeps the view in step until the context ends.
 func (d *Directory) Follow(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -162,6 +168,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.noteReturn(at)
 	old := d.view.Load()
 	view := emptyView()
 	view.Config = old.Config
@@ -259,6 +266,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	view, now := copyView(d.view.Load()), time.Now()
+	d.noteReturn(change.At)
 	for _, item := range change.Items {
 		if item.Deleted && d.deferred(item, view, now) {
 			continue
@@ -268,10 +276,18 @@
 	d.publish(view, change.At)
 }
 
+// noteReturn notes the first revision that is heard after an outage. The caller
+// holds the lock.
+func (d *Directory) noteReturn(at int64) {
+	if d.returnedAt == 0 {
+		d.returnedAt = at
+	}
+}
+
 // deferred puts off the deletion of a target's entry that may have lapsed in an
 // outage.
 func (d *Directory) deferred(item platform.Item, view *catalog.View, now time.Time) bool {
-	if !d.away && now.Sub(d.returned) >= returnGrace {
+	if !d.away.Load() && now.Sub(d.returned) >= returnGrace || d.returnedAt > 0 && item.Revision > d.returnedAt {
 		return false
 	}
 	for id, target := range view.Targets {
@@ -286,6 +302,9 @@
 // enter decodes one item. An unreadable one is logged once a revision.
 func (d *Directory) enter(view *catalog.View, item platform.Item, now time.Time) {
 	err := d.decoder.Decode(view, item, now)
+	if _, id, ok := strings.Cut(item.Key, "/"); ok {
+		delete(d.lapsed, id) // it is back
+	}
 	if err != nil && d.unreadable[item.Key] != item.Revision {
 		d.unreadable[item.Key] = item.Revision
 		d.log.Error(err, "item skipped", "key", item.Key, "revision", item.Revision)
@@ -310,8 +329,8 @@
 	d.changed(view)
 }
 
-// expire removes targets whose entries did not come back after an outage.
-func (d *Directory) expire() {
+// Expire removes targets whose entries did not come back after an outage.
+func (d *Directory) Expire() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
@@ -350,14 +369,15 @@
 	defer d.mu.Unlock()
 	if !reachable {
 		d.failed.Inc(1)
-		if !d.away && now.Sub(d.lastGood) > outageAfter {
-			d.away = true
+		if !d.away.Load() && now.Sub(d.lastGood) > outageAfter {
+			d.away.Store(true)
 			d.log.Error(err, "store lost", "silent_ms", now.Sub(d.lastGood).Milliseconds())
 		}
 		return
 	}
-	if d.away {
-		d.away, d.returned = false, now
+	if d.away.Load() {
+		d.away.Store(false)
+		d.returned, d.returnedAt = now, 0
 		d.log.Info("store regained", "away_ms", now.Sub(d.lastGood).Milliseconds())
 	}
 	d.lastGood = now
@@ -369,13 +389,15 @@
 	pause := checkEvery
 	for wait.For(ctx, pause) {
 		pause = checkAgain
-		d.expire()
 		sent := clock.Boot()
 		_, at, err := d.store.Range(ctx, d.layout.Operator, d.layout.LargeItem)
 		d.note(err)
 		if err != nil {
 			continue
 		}
+		d.mu.Lock()
+		d.noteReturn(at)
+		d.mu.Unlock()
 		if d.reached(ctx, at) {
 			d.confirm(sent)
 			pause = checkEvery
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -22,6 +22,9 @@
 	// revokeMargin is kept from the time within which a withdrawn key must be
 	// known: a request travels and starts in it.
 	revokeMargin = 500 * time.Millisecond
+	// leaveMargin is kept from the time within which a leaving target must be
+	// known, for the same reason.
+	leaveMargin = 150 * time.Millisecond
 	// defaultDeadline is that of a request whose caller and route state none.
 	defaultDeadline = 30 * time.Second
 )
@@ -132,6 +135,17 @@
 	return nil
 }
 
+// current reports an error if the process has not kept up with a store that
+// answers, as happens when it gets too little processor time or stood still: a
+// target that it thinks of may have left.
+func (g *Gateway) current() error {
+	age, known := g.knowledge.Age()
+	if !known || !g.knowledge.Away() && age > g.settings.Bounds.LeaveWithin-leaveMargin {
+		return errkind.New(errkind.PlatformUnavailable, "the view of the deployment is %d ms old", age.Milliseconds())
+	}
+	return nil
+}
+
 // fresh reports an error if the configuration may be older than withdrawn keys
 // allow.
 func (g *Gateway) fresh() error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,8 @@
 	View() *catalog.View
 	// Age returns how old the knowledge is that the view is the newest.
 	Age() (time.Duration, bool)
+	// Away reports whether the store does not answer.
+	Away() bool
 }
 
 // Gateway serves callers' requests. It is safe for concurrent use.
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -25,8 +25,9 @@
 
 // Times of a process.
 const (
-	// forgetEvery is the pause between two looks for peers that fell silent.
-	forgetEvery = 500 * time.Millisecond
+	// forgetEvery is the pause between two looks for peers that fell silent, and
+	// for targets that did not come back.
+	forgetEvery = 250 * time.Millisecond
 	// sweepEvery is the pause between two sweeps of idle connections.
 	sweepEvery = time.Second
 	// pruneEvery is the pause between two looks for members that are gone, and
@@ -159,10 +160,12 @@
 	}
 }
 
-// forget drops what is known of peers that fell silent.
+// forget drops what is known of peers that fell silent, and targets that did not
+// come back after an outage of the store.
 func (p *Process) forget(ctx context.Context) {
 	for wait.For(ctx, forgetEvery) {
 		p.gateway.scheduler.forget()
+		p.directory.Expire()
 	}
 }
 
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -42,16 +42,22 @@
 
 // limits returns this process's part of the fleet's bound.
 func (r *retryBudgets) limits() retry.Limits {
-	saved := r.bounds.RetrySlack * retryCaution / float64(r.members)
-	return retry.Limits{ShareOfRequests: r.bounds.RetryRatio * retryCaution, MaxSaved: max(1, saved)}
+	return retry.Limits{ShareOfRequests: r.bounds.RetryRatio * retryCaution, MaxSaved: max(1, r.slack())}
+}
+
+// slack returns this process's part of the second sends that are allowed
+// whatever the number of requests; below one in large fleets.
+func (r *retryBudgets) slack() float64 {
+	return r.bounds.RetrySlack * retryCaution / float64(r.members)
 }
 
 func (r *retryBudgets) budget(service string) *retry.Budget {
 	b := r.budgets[service]
 	if b == nil {
 		b = retry.NewBudget(time.Now())
+		b.SetLimits(retry.Limits{})
 		b.SetLimits(r.limits())
-		b.Fill()
+		b.Save(r.slack())
 		r.budgets[service] = b
 	}
 	return b
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -97,6 +97,9 @@
 	if err := x.ctx.Err(); err != nil {
 		return g.gaveUp(x, "waiting for a target")
 	}
+	if err := g.current(); err != nil {
+		return err
+	}
 	if config := g.knowledge.View().Config; config != nil && config.Version != x.config {
 		before := x.service
 		if err := g.admit(x); err != nil {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -40,6 +40,9 @@
 	Grace time.Duration
 	// RevokeWithin is the time after which a withdrawn API key opens nothing.
 	RevokeWithin time.Duration
+	// LeaveWithin is the time after which a leaving target gets nothing new, and a
+	// configuration is in force.
+	LeaveWithin time.Duration
 	// RetryRatio and RetrySlack bound the second sends to a service in any
 	// RetryWindow over the whole fleet: its requests times the one plus the other.
 	RetryRatio  float64
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -49,8 +49,9 @@
 	b.saved = min(b.saved, l.MaxSaved)
 }
 
-// Fill saves up as many retries as the limits allow.
-func (b *Budget) Fill() { b.saved = b.limits.MaxSaved }
+// Save saves up a number of retries, which may be a fraction, as far as the
+// limits allow.
+func (b *Budget) Save(retries float64) { b.saved = min(b.saved+retries, b.limits.MaxSaved) }
 
 // Some reports whether a first retry would be allowed.
 func (b *Budget) Some(now time.Time) bool {
