Count callers that left before they were read as overload

All callers of one account were led to one host of 0.144 core: its queue of new connections was over a second old, so it read 500 requests a second whose callers had left, while its timers were punctual. Such requests now raise the part that is refused and make the process not ready.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -93,7 +93,7 @@
 	// returnedAt is the store's revision when it came back; 0 until it is told.
 	// What was removed later did not lapse.
 	returnedAt int64
-	away               atomic.Bool
+	away       atomic.Bool
 	// unreadable holds the revisions of items that were reported as unreadable.
 	unreadable map[string]int64
 	resync     chan struct{}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,6 +164,10 @@
 
 // shed refuses a request that there is no processor time for.
 func (g *Gateway) shed(x *call) error {
+	if callerLeft(x.r.Context()) {
+		g.overload.dead.Add(1)
+		return errkind.New(errkind.Canceled, "the caller left before its request was read")
+	}
 	if !g.overload.refuses() {
 		return nil
 	}
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -15,7 +15,9 @@
 // overload tells whether the process gets too little processor time for what
 // callers ask: a timer that fires late means that requests wait for a turn too.
 // It answers loads that the platform spreads without regard to the size of
-// hosts. Part of the requests is then refused before anything is done for them.
+// hosts. So do requests whose callers have left before they are read: these
+// waited in the queue of new connections, which no timer sees. Part of the
+// requests is then refused before anything is done for them.
 type overload struct {
 	log logr.Logger
 	lag metrics.Gauge
@@ -25,6 +27,9 @@
 	// monotonic clock of started.
 	until   atomic.Int64
 	started time.Time
+	// dead counts requests whose callers had left before they were read, since the
+	// last measurement.
+	dead atomic.Int64
 	// most is the smoothed lag from which requests are refused.
 	most time.Duration
 }
@@ -38,6 +43,9 @@
 	// of the shortest objectives; below a part of it they are taken again.
 	DefaultMostLag = 40 * time.Millisecond
 	calmPart       = 0.4
+	// mostDead is the number of requests between two measurements whose callers
+	// had left before they were read, from which requests are refused.
+	mostDead = 3
 	// partUp and partDown are the steps of the part refused, in thousandths.
 	partUp, partDown = 80, 25
 	// mostPart leaves some requests, so that the lag shows when load falls.
@@ -45,7 +53,7 @@
 	// notReadyPart is the part refused from which the process takes no new
 	// connections, and notReadyFor how long after that.
 	notReadyPart = 200
-	notReadyFor  = 3 * time.Second
+	notReadyFor  = 4 * time.Second
 )
 
 func newOverload(most time.Duration, registry metrics.Registry, log logr.Logger) *overload {
@@ -81,7 +89,7 @@
 	before := o.part.Load()
 	part := before
 	switch {
-	case lag > o.most:
+	case lag > o.most, o.dead.Swap(0) >= mostDead:
 		part = min(mostPart, part+partUp)
 	case lag < time.Duration(calmPart*float64(o.most)):
 		part = max(0, part-partDown)
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -36,3 +36,18 @@
 	}
 	is.True(!o.refuses())
 }
+
+// Requests that waited in the queue of new connections until their callers left
+// show on no timer.
+func TestCallersThatLeftBeforeTheyWereReadCountAsOverload(t *testing.T) {
+	is := is.New(t)
+	o := newOverload(0, metrics.NewRegistry(), logr.Discard())
+	now := o.started
+	for range 10 {
+		o.dead.Add(mostDead)
+		now = now.Add(probeEvery)
+		o.step(time.Millisecond, now)
+	}
+	is.True(o.part.Load() >= notReadyPart)
+	is.True(!o.ready())
+}
