--- a/internal/dispatch/refuse.go
+++ b/internal/dispatch/refuse.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// patience is the part of its objective for which a request waits for room.
@@ -18,6 +21,10 @@
 	// to which it serves accounts that have just had their share.
 	spareLoad = 0.55
 	spareWait = 30 * time.Millisecond
+	// spareSteepness is the power by which that shrinks with what an account had
+	// beside the least served that competes: hosts that carry little slow some
+	// accounts down, and the others are not to run away from them.
+	spareSteepness = 2
 	// retryNoTarget is when a request comes back for which there is no target:
 	// about the time in which a target returns or is replaced.
 	retryNoTarget = 500 * time.Millisecond
@@ -53,7 +60,7 @@
 func (d *Dispatcher) spares(r *Request, c candidate) bool {
 	part := 1.0
 	if d.usage.least > 0 && r.order.spare > d.usage.least {
-		part = d.usage.least / r.order.spare
+		part = math.Pow(d.usage.least/r.order.spare, spareSteepness)
 	}
 	load := float64(c.target.running()) / float64(c.target.Slots)
 	return load <= spareLoad*part && c.wait <= time.Duration(float64(spareWait)*part)
--- a/internal/dispatch/usage_test.go
+++ b/internal/dispatch/usage_test.go
@@ -56,3 +56,23 @@
 	u.share(0, now.Add(time.Minute))
 	is.Equal(len(u.accounts), 0)
 }
+
+// Where hosts that carry little slow one flooding account down, another does not
+// take all the spare capacity that it leaves.
+func TestAnAccountFarOverItsShareWaitsForOthersThatCompete(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	d := testDispatcher("edge-0", testView(4, 1))
+	capacity := 290000 * d.usage.window.Seconds()
+	for _, account := range []string{"slow", "fast"} {
+		d.usage.ask(account, 10*capacity, now)
+	}
+	d.usage.get("slow", 0.7*capacity, now) // 1.4 times its share
+	d.usage.get("fast", 2.4*capacity, now) // 4.8 times
+	for _, target := range d.targets {
+		target.own.Running = target.Slots / 8
+	}
+	is.True(d.Enqueue(prompt(d, "fast", 1, 100, 100, now), now))
+	is.Equal(len(d.Decide(now)), 0)
+	is.Equal(one(t, d, prompt(d, "slow", 2, 100, 100, now), now).Verdict, Send)
+}
