--- a/cmd/zinniaquay/gateway.go
+++ b/cmd/zinniaquay/gateway.go
@@ -41,7 +41,7 @@
 				return usage(err)
 			}
 			p := gateway.NewProcess(s, platform.NewStore(s.StoreAddr), platform.Documents{}, platform.Headers{}, registry, log)
-			stopNotify := logReloads(log)
+			stopNotify := logReloads(path, s, log)
 			defer stopNotify()
 			ctx, stop := untilSignal(cmd)
 			defer stop()
@@ -54,9 +54,10 @@
 	return cmd
 }
 
-// logReloads notes each SIGHUP. All that the settings file holds is fixed for
-// the life of a process, so that there is nothing to take over.
-func logReloads(log logr.Logger) (stop func()) {
+// logReloads reads the settings file again at each SIGHUP and tells whether it
+// changed. A process keeps the settings of its start: they are its addresses, its
+// size and the rules that its decisions were made under.
+func logReloads(path string, inForce gateway.Settings, log logr.Logger) (stop func()) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	done := make(chan struct{})
@@ -64,7 +65,12 @@
 		for {
 			select {
 			case <-hangups:
-				log.Info("settings reloaded", "changed", false)
+				read, err := platform.LoadSettings(path)
+				if err != nil {
+					log.Error(err, "settings can't be read; those of the start stay in force")
+					continue
+				}
+				log.Info("settings read again", "changed", read != inForce, "in_force", "those of the start")
 			case <-done:
 				return
 			}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -110,6 +110,7 @@
 		lapsed:     make(map[string]time.Time),
 		unreadable: make(map[string]int64),
 		resync:     make(chan struct{}, 1),
+		lastGood:   time.Now(),
 	}
 	d.view.Store(emptyView())
 	return d
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -30,6 +30,9 @@
 	// dead counts requests whose callers had left before they were read, since the
 	// last measurement.
 	dead atomic.Int64
+	// away is how long the process takes no connections this time; only run uses
+	// it.
+	away time.Duration
 	// most is the smoothed lag from which requests are refused.
 	most time.Duration
 }
@@ -54,6 +57,10 @@
 	// connections, and notReadyFor how long after that.
 	notReadyPart = 200
 	notReadyFor  = 4 * time.Second
+	// returnsWithin is the time within which a load that returns makes that time
+	// twice as long, up to mostNotReady.
+	returnsWithin = 5 * time.Second
+	mostNotReady  = 16 * time.Second
 )
 
 func newOverload(most time.Duration, registry metrics.Registry, log logr.Logger) *overload {
@@ -96,13 +103,28 @@
 	}
 	o.part.Store(part)
 	if part >= notReadyPart {
-		o.until.Store(int64(now.Add(notReadyFor).Sub(o.started)))
+		o.withdraw(now.Sub(o.started))
 	}
 	if (before == 0) != (part == 0) {
 		o.log.Info("processor short", "short", part > 0, "lag_ms", lag.Milliseconds())
 	}
 }
 
+// withdraw makes the process take no new connections for a while: longer each
+// time that the load returns as soon as it takes some again, since the platform
+// leads the same callers back.
+func (o *overload) withdraw(now time.Duration) {
+	until := time.Duration(o.until.Load())
+	switch {
+	case now < until:
+	case until > 0 && now-until < returnsWithin:
+		o.away = min(2*o.away, mostNotReady)
+	default:
+		o.away = notReadyFor
+	}
+	o.until.Store(int64(max(until, now+o.away)))
+}
+
 // refuses reports whether the next request is refused.
 func (o *overload) refuses() bool {
 	part := o.part.Load()
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -51,3 +51,20 @@
 	is.True(o.part.Load() >= notReadyPart)
 	is.True(!o.ready())
 }
+
+func TestALoadThatReturnsKeepsTheProcessAwayForLonger(t *testing.T) {
+	is := is.New(t)
+	o := newOverload(0, metrics.NewRegistry(), logr.Discard())
+	now, last := time.Duration(0), time.Duration(0)
+	for range 4 {
+		now += time.Second
+		o.withdraw(now)
+		away := time.Duration(o.until.Load()) - now
+		is.True(away >= last && away <= mostNotReady)
+		last, now = away, time.Duration(o.until.Load())
+	}
+	is.Equal(last, mostNotReady)
+	now += time.Minute
+	o.withdraw(now)
+	is.Equal(time.Duration(o.until.Load())-now, notReadyFor)
+}
