Bound the connections of callers by the memory

Connections above what the memory holds are closed unread. Lines on callers that left are bounded like those on refusals.

--- a/cmd/zinniaquay/demoplatform.go
+++ b/cmd/zinniaquay/demoplatform.go
@@ -46,7 +46,7 @@
 			return err
 		}
 	}
-	if _, err := fmt.Fprintf(out, platformHelp, callerAddr, s.MetricsAddr); err != nil {
+	if _, err := io.WriteString(out, standin.Help(callerAddr, s.MetricsAddr)); err != nil {
 		return err
 	}
 	return gateway.NewProcess(s, platform.NewStore(d.StoreAddr), platform.Documents{}, platform.Headers{},
@@ -61,13 +61,3 @@
 	}
 	return l.Addr().String(), l.Close()
 }
-
-const platformHelp = `A gateway runs before stand-ins of the platform. Paste into another terminal:
-
-  stream:   curl -N -X POST -H 'Host: ` + standin.Host + `' -H 'Credential: ` + standin.Key + `' -H 'Attempt-Id: 1' \
-              -H 'Token-Usage: 1000,50' -H 'Prompt-Prefix: aa:400,bb:600' -d hello http://%[1]s/stream/chat/x
-  booking:  curl -X POST -H 'Host: ` + standin.Host + `' -H 'Credential: ` + standin.Key + `' -H 'Attempt-Id: 2' -d kits http://%[1]s/book/x
-  metrics:  curl http://%[2]s/metrics
-
-Ctrl-C drains it.
-`
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -5,7 +5,12 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/zinniaquay/zinniaquay/internal/telemetry"
 )
 
 // framedConn watches the heads of requests for two framings at once, a length
@@ -17,6 +22,15 @@
 	// inBody says that the head has ended.
 	inBody bool
 	twice  atomic.Bool
+	// closed lets the listener count the connection's end once.
+	closed sync.Once
+	open   *atomic.Int64
+}
+
+// Close implements net.Conn.
+func (c *framedConn) Close() error {
+	c.closed.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
 }
 
 // mostHeadBytes bounds what is kept of a head.
@@ -58,16 +72,48 @@
 // next prepares for the next request of the connection.
 func (c *framedConn) next() { c.inBody = false }
 
-// framingListener wraps accepted connections.
-type framingListener struct{ net.Listener }
+// framingListener wraps accepted connections, and closes those above a number
+// at once: callers whose request was not read come back, mostly to another
+// process, while a process over its memory would cut all of them.
+type framingListener struct {
+	net.Listener
+	most   int64
+	open   atomic.Int64
+	closed metrics.Counter
+}
+
+// connMemory is the memory in bytes that a connection with its request needs at
+// most on average.
+const connMemory = 64 << 10
+
+// newFramingListener returns a listener for a process of the given memory and
+// number of descriptors, of which targets need half.
+func newFramingListener(l net.Listener, memory int64, descriptors int, registry metrics.Registry) *framingListener {
+	most := memory / connMemory
+	if descriptors > 0 {
+		most = min(most, int64(descriptors)/2)
+	}
+	return &framingListener{
+		Listener: l, most: max(1, most),
+		closed: metrics.GetOrRegisterCounter(telemetry.Name("connections_closed_unread_total"), registry),
+	}
+}
 
 // Accept implements net.Listener.
-func (l framingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+func (l *framingListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= l.most {
+			return &framedConn{Conn: conn, open: &l.open}, nil
+		}
+		l.open.Add(-1)
+		l.closed.Inc(1)
+		// The connection is of no use whether or not closing it fails.
+		_ = conn.Close()
 	}
-	return &framedConn{Conn: conn}, nil
 }
 
 // connContext keeps the connection for framedTwice.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -185,7 +185,7 @@
 	}
 	kind := errkind.Of(err)
 	g.counts.ended(string(kind))
-	if !kind.Answer().NotRun || g.lines.Allow() {
+	if x.mayHaveRun || g.lines.Allow() {
 		g.logEnd(x, err)
 	}
 	if x.relay.begun {
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -121,7 +121,8 @@
 		MaxHeaderBytes: maxHeaderBytes, ConnContext: connContext, ConnState: connState,
 		ErrorLog: telemetry.StandardLog(p.log),
 	}
-	group.Go(func() { p.serve(server, framingListener{l}) })
+	framed := newFramingListener(l, p.settings.MemoryBytes, p.settings.Descriptors, p.registry)
+	group.Go(func() { p.serve(server, framed) })
 	return server
 }
 
