Keep known move orders like known targets, and default an objective

A full read looked for a move's order by the end of its key; it now keeps the old order where the revision is the same, as for targets. A route without a stated latency had requests refused at once when no target was free.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -173,18 +173,10 @@
 	old := d.view.Load()
 	view := emptyView()
 	view.Config = old.Config
-	maps.Copy(view.Moves, old.Moves)
 	now := time.Now()
-	present := make(map[string]bool, len(items))
 	for _, item := range items {
-		present[item.Key] = true
 		d.enter(view, item, now)
 	}
-	for service := range old.Moves {
-		if !d.hasMove(items, service) {
-			delete(view.Moves, service)
-		}
-	}
 	d.keepKnown(old, view)
 	d.keepLapsed(old, view, now)
 	d.publish(view, at)
@@ -193,19 +185,14 @@
 	return nil
 }
 
-// hasMove reports whether the order of a service's move is among the items.
-func (d *Directory) hasMove(items []platform.Item, service string) bool {
-	for _, item := range items {
-		if strings.HasPrefix(item.Key, d.layout.Operator) && strings.HasSuffix(item.Key, "/"+service) {
-			return true
+// keepKnown keeps targets and orders that did not change, since the time that a
+// cold target has left, and that of a move, count from when they were first seen.
+func (d *Directory) keepKnown(old, view *catalog.View) {
+	for service, order := range old.Moves {
+		if m := view.Moves[service]; m != nil && m.Revision == order.Revision {
+			view.Moves[service] = order
 		}
 	}
-	return false
-}
-
-// keepKnown keeps targets whose entries did not change, since the time that a
-// cold one has left counts from when its entry was first seen.
-func (d *Directory) keepKnown(old, view *catalog.View) {
 	for id, target := range old.Targets {
 		if t := view.Targets[id]; t != nil && t.Revision == target.Revision {
 			view.Targets[id] = target
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -35,7 +35,7 @@
 	version := g.moves.version(x.service, x.route.Name)
 	decision, ok := g.scheduler.wait(x.ctx, &dispatch.Request{
 		Account: x.account.Name, Service: x.service, Priority: x.priority(),
-		Arrived: x.started, Objective: x.route.Objective, Deadline: x.deadline,
+		Arrived: x.started, Objective: x.objective(), Deadline: x.deadline,
 		TokensIn: x.attempt.TokensIn, TokensOut: x.attempt.TokensOut, Parts: x.attempt.Parts,
 		Exclude: x.tried, Versions: version, Resume: x.relay.begun,
 	})
@@ -58,6 +58,19 @@
 	return decision, nil
 }
 
+// objective returns the latency within which the answer is on time: the route's,
+// or a part of the time that there is.
+func (x *call) objective() time.Duration {
+	if x.route.Objective > 0 {
+		return x.route.Objective
+	}
+	return x.deadline.Sub(x.started) / defaultObjectivePart
+}
+
+// defaultObjectivePart is the part of a request's time, as a divisor, that counts
+// as its objective where the operator states none.
+const defaultObjectivePart = 4
+
 // priority returns the rank of a request: the account's, or else the route's.
 func (x *call) priority() int {
 	if x.account.HasPriority {
