--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -130,7 +130,7 @@
 	}
 	r.prepare()
 	if !r.Resume {
-		d.usage.byHash(r.accountHash).requested.add(r.size(), now, d.usage.timeConstant)
+		d.usage.byHash(r.accountHash).requested.add(r.Size(), now, d.usage.timeConstant)
 	}
 	d.queue = append(d.queue, r)
 	return true
@@ -244,7 +244,7 @@
 	t.estimate.round = 0
 	d.inFlight[r.Sequence] = &placement{request: r, target: t, load: load, sentAt: now}
 	if !r.Resume {
-		d.usage.addReceived(r.Account, r.size(), now)
+		d.usage.addReceived(r.Account, r.Size(), now)
 	}
 	return Decision{Request: r, Action: Send, Target: t.ID, Addr: t.Addr, PredictedWait: c.firstToken, CachedTokens: c.cachedTokens}
 }
@@ -280,7 +280,7 @@
 	p.target.ownLoad = p.target.ownLoad.minus(p.load)
 	p.target.health.record(o, now)
 	if o == NotRun || o == Unreachable {
-		d.usage.addReceived(p.request.Account, -p.request.size(), now)
+		d.usage.addReceived(p.request.Account, -p.request.Size(), now)
 	}
 }
 
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -104,9 +104,9 @@
 	return (v.Only == "" || v.Only == version) && (v.Except == "" || v.Except != version)
 }
 
-// size returns the size by which the request counts in account shares: its weighted
+// Size returns the size by which the request counts in account shares: its weighted
 // tokens, or 1 for a request without a prompt.
-func (r *Request) size() float64 {
+func (r *Request) Size() float64 {
 	if r.TokensIn == 0 {
 		return 1
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -50,12 +50,13 @@
 		}
 		g.log.Info("request refused", telemetry.KeyRequest, x.attempt.ID, "verdict", int(decision.Action),
 			"waited_ms", waited.Milliseconds(), "predicted_ms", decision.PredictedWait.Milliseconds(), "queued", decision.Queued,
-			telemetry.KeyAccount, x.account.Name, "over_share", decision.ShareRatio)
+			telemetry.KeyAccount, x.account.Name, "size", decision.Request.Size(), "over_share", decision.ShareRatio)
 		return decision, refusalOf(x, decision)
 	}
 	g.log.Info("request placed", telemetry.KeyRequest, x.attempt.ID, "target", decision.Target, "version", versions.Only,
 		"waited_ms", waited.Milliseconds(), "predicted_ms", decision.PredictedWait.Milliseconds(), "kept", decision.CachedTokens,
-		"config", x.configVersion, "queued", decision.Queued, telemetry.KeyAccount, x.account.Name, "over_share", decision.ShareRatio)
+		"config", x.configVersion, "queued", decision.Queued, telemetry.KeyAccount, x.account.Name,
+		"size", decision.Request.Size(), "over_share", decision.ShareRatio)
 	return decision, nil
 }
 
