--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -72,7 +72,7 @@
 	}
 	d.sumPeerLoads()
 	if r.HasAccounts {
-		d.usage.merge(name, r.Accounts)
+		d.usage.merge(name, r.Accounts, now)
 	}
 }
 
--- a/internal/dispatch/usage.go
+++ b/internal/dispatch/usage.go
@@ -35,7 +35,10 @@
 }
 
 // peerUsage is the usage of an account that a peer reported.
-type peerUsage struct{ requested, received float64 }
+type peerUsage struct {
+	requested, received float64
+	reportedAt          time.Time
+}
 
 // decayingSum is a sum that decays exponentially.
 type decayingSum struct {
@@ -82,10 +85,10 @@
 }
 
 // merge replaces the usage that a peer reported.
-func (u *usage) merge(peer string, reported []AccountReport) {
+func (u *usage) merge(peer string, reported []AccountReport, now time.Time) {
 	u.dropPeer(peer)
 	for _, r := range reported {
-		u.byHash(r.Account).byPeer[peer] = peerUsage{r.Requested, r.Received}
+		u.byHash(r.Account).byPeer[peer] = peerUsage{r.Requested, r.Received, now}
 	}
 }
 
@@ -157,6 +160,10 @@
 	// Ratio is the ratio of Received to Share if the account requested more than its
 	// share, otherwise 0.
 	Ratio float64
+	// Peers is the number of peers whose reports include the account, and MaxAge the
+	// age of the oldest of these reports.
+	Peers  int
+	MaxAge time.Duration
 }
 
 // underservedFraction is the fraction of what an account requested below which it
@@ -168,7 +175,10 @@
 func (d *Dispatcher) Underserved(limit int, now time.Time) []AccountStatus {
 	var statuses []AccountStatus
 	for hash, a := range d.usage.accounts {
-		s := AccountStatus{Account: hash, Share: a.share, Ratio: a.ratio}
+		s := AccountStatus{Account: hash, Share: a.share, Ratio: a.ratio, Peers: len(a.byPeer)}
+		for _, p := range a.byPeer {
+			s.MaxAge = max(s.MaxAge, now.Sub(p.reportedAt))
+		}
 		s.Requested, s.Received = a.totals(now, d.usage.timeConstant)
 		s.OwnRequested, s.OwnReceived = a.requested.valueAt(now, d.usage.timeConstant), a.received.valueAt(now, d.usage.timeConstant)
 		if s.OwnRequested >= minReportedTokens && s.Received < underservedFraction*s.Requested {
--- a/internal/dispatch/usage_test.go
+++ b/internal/dispatch/usage_test.go
@@ -22,7 +22,7 @@
 	for i := range reported {
 		reported[i] = AccountReport{Account: uint32(i), Requested: 1000, Received: 100}
 	}
-	u.merge("peer", reported)
+	u.merge("peer", reported, now)
 	u.computeShares(1000/u.timeConstant.Seconds(), now)
 	is.True(u.account("own").ratio > 8.9 && u.account("own").ratio < 9.1) // 900 received, share a tenth of 1000
 	u.dropPeer("peer")
--- a/internal/gateway/overloadlog.go
+++ b/internal/gateway/overloadlog.go
@@ -44,7 +44,7 @@
 	for _, a := range underserved {
 		p.log.Info("account underserved", telemetry.KeyAccount, names[a.Account], "requested", int64(a.Requested),
 			"received", int64(a.Received), "share", int64(a.Share), "over_share", a.Ratio,
-			"requested_here", int64(a.OwnRequested), "received_here", int64(a.OwnReceived))
+			"requested_here", int64(a.OwnRequested), "received_here", int64(a.OwnReceived), "peers", a.Peers, "max_age_ms", a.MaxAge.Milliseconds())
 	}
 }
 
