--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"time"
 
 	"go.yaml.in/yaml/v3"
@@ -31,8 +32,11 @@
 	// differ in size.
 	Accounts int     `yaml:"accounts"`
 	Skew     float64 `yaml:"skew"`
-	Kinds    []Kind  `yaml:"kinds"`
-	Surges   []Surge `yaml:"surges"`
+	// SingleGatewayAccounts are the accounts, by size from 1, whose callers all reach
+	// the same gateway.
+	SingleGatewayAccounts []int   `yaml:"single_gateway_accounts"`
+	Kinds                 []Kind  `yaml:"kinds"`
+	Surges                []Surge `yaml:"surges"`
 }
 
 // Kind is a kind of request.
@@ -192,7 +196,11 @@
 // caller draws what one caller asks.
 func (d *Workload) caller(rng *rand.Rand, id uint64, at float64, kind, account int) *caller {
 	k := &d.Kinds[kind]
-	c := &caller{id: id, kind: k, account: fmt.Sprintf("account-%d", account+1), at: ms(at * 1000), left: 1}
+	c := &caller{id: id, kind: k, account: accountName(account + 1), at: ms(at * 1000), left: 1}
+	c.gateway = -1
+	if slices.Contains(d.SingleGatewayAccounts, account+1) {
+		c.gateway = account % d.Gateways
+	}
 	key := uint64(kind + 1)
 	for _, p := range k.Shared {
 		key = key*1_000_003 + uint64(rng.IntN(p.Things)) + 1
@@ -206,6 +214,9 @@
 	return c
 }
 
+// accountName returns the name of an account by its size from 1.
+func accountName(rank int) string { return fmt.Sprintf("account-%d", rank) }
+
 // meanSize returns the mean size of a kind's requests, as worth is counted.
 func (d *Workload) meanSize(k *Kind) float64 {
 	n := k.Own.Mean + outputSize*k.Events.Mean*float64(d.Engine.Stride)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -18,19 +18,30 @@
 
 // results plays the heavy day by a way, with several seeds.
 func results(t *testing.T, way string) []*Result {
+	t.Helper()
+	strategy := strategyNamed(t, way)
+	var all []*Result
+	for seed := range uint64(seeds) {
+		all = append(all, Simulate(HeavyWorkload(), strategy, seed+1))
+	}
+	return all
+}
+
+func strategyNamed(t *testing.T, name string) Strategy {
 	t.Helper()
 	for _, w := range Strategies() {
-		if w.Name != way {
-			continue
-		}
-		var all []*Result
-		for seed := range uint64(seeds) {
-			all = append(all, Simulate(HeavyWorkload(), w, seed+1))
+		if w.Name == name {
+			return w
 		}
-		return all
 	}
-	t.Fatalf("no way %q", way)
-	return nil
+	t.Fatalf("no strategy %q", name)
+	return Strategy{}
+}
+
+// presentStrategy returns the product's own way of deciding.
+func presentStrategy(t *testing.T) Strategy {
+	t.Helper()
+	return strategyNamed(t, "present")
 }
 
 func mean(results []*Result, figure func(*Result) float64) float64 {
@@ -95,14 +106,8 @@
 	is := is.New(t)
 	flood := HeavyWorkload()
 	flood.Surges = []Surge{{From: 0, To: flood.Seconds, Times: 20, Account: 1}}
-	var present Strategy
-	for _, w := range Strategies() {
-		if w.Name == "present" {
-			present = w
-		}
-	}
 	for seed := range uint64(seeds) {
-		r := Simulate(flood, present, seed+1)
+		r := Simulate(flood, presentStrategy(t), seed+1)
 		small := Tally{}
 		for name, tally := range r.Accounts {
 			if name != "account-1" {
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -18,11 +18,16 @@
 	at      time.Duration
 	parts   []part
 	in, out int
+	// gateway is the index of the only gateway that the caller reaches, or -1 if it
+	// reaches another with each attempt.
+	gateway int
 	// left is the number of times that the caller comes back.
 	left int
 	// first is when the first event came, and gap the longest pause after it.
 	first, gap time.Duration
-	ended      ending
+	// begun is when the first token was generated; 0 if none was.
+	begun time.Duration
+	ended ending
 	// reason is why the last attempt was refused.
 	reason string
 }
@@ -156,6 +161,9 @@
 // attempt lets a caller ask a gateway, another one each time.
 func (w *world) attempt(c *caller) {
 	g := w.gateways[(c.id*7+uint64(c.left))%uint64(len(w.gateways))]
+	if c.gateway >= 0 {
+		g = w.gateways[c.gateway]
+	}
 	r := &dispatch.Request{
 		Sequence: g.policy.NextSequence(), Account: c.account, Service: service, Priority: 1, Arrived: w.time(),
 		Objective: ms(c.kind.ObjectiveMS), Deadline: start.Add(c.at + ms(c.kind.DeadlineMS)), TokensIn: c.in, TokensOut: c.out,
@@ -259,7 +267,7 @@
 	x, c := j.call, j.call.caller
 	now := w.now + w.hop()
 	if j.made == 1 {
-		c.first = now - c.at
+		c.first, c.begun = now-c.at, w.now
 		x.lastEvent = now
 		w.after(w.hop(), func() { x.gateway.policy.ResponseStarted(x.request.Sequence, w.time()) })
 	}
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -56,6 +56,8 @@
 	All      Tally
 	Kinds    map[string]*Tally
 	Accounts map[string]*Tally
+	// Demand holds what each account asked and received, by seconds.
+	Demand map[string][]DemandSecond
 	// Windows are the tallies of two seconds each.
 	Windows []*Tally
 	// Reasons counts the final refusals.
@@ -74,7 +76,8 @@
 const windowLength = 2 * time.Second
 
 func newResult(d *Workload, way string, callers []*caller, w *world) *Result {
-	r := &Result{Strategy: way, Kinds: make(map[string]*Tally), Accounts: make(map[string]*Tally), Reasons: make(map[string]int)}
+	r := &Result{Strategy: way, Kinds: make(map[string]*Tally), Accounts: make(map[string]*Tally), Reasons: make(map[string]int),
+		Demand: d.demand(callers)}
 	for range int(math.Ceil(d.Seconds / windowLength.Seconds())) {
 		r.Windows = append(r.Windows, &Tally{})
 	}
@@ -106,6 +109,42 @@
 	return r
 }
 
+// DemandSecond is what an account asked and received in one second, in tokens as
+// shares count them.
+type DemandSecond struct {
+	Asked, Received float64
+	// Largest is the size of the largest request that was asked.
+	Largest float64
+	// Waited reports whether a request was refused or began later than its objective.
+	Waited bool
+}
+
+// demand returns what accounts asked and received by seconds. A request counts as
+// asked when its caller first asks, and as received when its first token is generated.
+func (d *Workload) demand(callers []*caller) map[string][]DemandSecond {
+	seconds := int(math.Ceil(d.Seconds))
+	demand := make(map[string][]DemandSecond, d.Accounts)
+	for rank := 1; rank <= d.Accounts; rank++ {
+		demand[accountName(rank)] = make([]DemandSecond, seconds)
+	}
+	for _, c := range callers {
+		of := demand[c.account]
+		second := &of[min(seconds-1, int(c.at/time.Second))]
+		second.Asked += c.size()
+		second.Largest = math.Max(second.Largest, c.size())
+		if c.begun == 0 || c.first > ms(c.kind.ObjectiveMS) {
+			second.Waited = true
+		}
+		if begun := int(c.begun / time.Second); c.begun > 0 && begun < seconds {
+			of[begun].Received += c.size()
+		}
+	}
+	return demand
+}
+
+// size is what a request counts in shares.
+func (c *caller) size() float64 { return float64(c.in + generatedSize*c.out) }
+
 func tallyOf(tallies map[string]*Tally, name string) *Tally {
 	t := tallies[name]
 	if t == nil {
@@ -153,7 +192,7 @@
 	}
 	for _, c := range callers {
 		g := of(c)
-		g.asked += float64(c.in + generatedSize*c.out)
+		g.asked += c.size()
 		g.owed += d.worth(c)
 		g.got += d.earned(c)
 	}
