--- a/internal/lab/fairness_test.go
+++ b/internal/lab/fairness_test.go
@@ -13,7 +13,7 @@
 // gateway each, 3 and 4 all gateways.
 func overload(surges ...float64) Workload {
 	d := Workload{
-		Name: "overload", Seconds: 20, Gateways: 16, Engines: 14, TokensPerSecond: 350_000, ReportMS: 2000, HopMS: 1, Accounts: 24, Skew: 1,
+		Name: "overload", Seconds: 20, Gateways: 31, Engines: 14, TokensPerSecond: 350_000, ReportMS: 3000, HopMS: 1, Accounts: 24, Skew: 1,
 		SingleGatewayAccounts: []int{1, 2, 9, 12},
 		Engine: EngineFigures{
 			Slots: 64, MemoryTokens: 387_923, StepMS: 3.37, StepMSPerSlot: 0.0109, ContextMSPerK: 0.0034, TokensPerMS: 61.2,
@@ -92,7 +92,7 @@
 // those whose callers reach all gateways, while both ask for more than there is.
 func TestAccountAtOneGatewayGetsItsPartUnderOverload(t *testing.T) {
 	for name, day := range map[string]Workload{
-		"flood": overload(10, 10, 6, 25), "heavier flood": overload(6, 10, 20, 40),
+		"flood": overload(20, 20, 6, 60), "heavier flood": overload(6, 10, 40, 80),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -126,7 +126,9 @@
 		})
 	}
 	if d.Gateways > 1 {
-		world.reports()
+		for i, g := range world.gateways {
+			world.after(ms(d.ReportMS*float64(i)/float64(d.Gateways)), func() { world.reports(g) })
+		}
 	}
 	return world
 }
@@ -143,18 +145,16 @@
 
 func (w *world) hop() time.Duration { return ms(w.day.HopMS) }
 
-// reports passes reports between all gateways, until callers stop coming.
-func (w *world) reports() {
-	for _, from := range w.gateways {
-		r := from.policy.Report(true, w.time())
-		for _, to := range w.gateways {
-			if to != from {
-				w.after(w.hop(), func() { to.policy.Merge(from.name, r, w.time()) })
-			}
+// reports passes the reports of a gateway to all others, until callers stop coming.
+func (w *world) reports(from *gateway) {
+	r := from.policy.Report(true, w.time())
+	for _, to := range w.gateways {
+		if to != from {
+			w.after(w.hop(), func() { to.policy.Merge(from.name, r, w.time()) })
 		}
 	}
 	if w.now < ms(w.day.Seconds*1000) {
-		w.after(ms(w.day.ReportMS), w.reports)
+		w.after(ms(w.day.ReportMS), func() { w.reports(from) })
 	}
 }
 
