gateway: callers' idle connections no longer shut them out of their host

What callers saw: an account whose callers reach one host had thousands of connections a second closed unread for seconds, while the host was nearly idle.

Cause: a host that had reached its limit on connections closed every new one, and still reported ready, so that the platform went on sending it the same callers. The connections at the limit were idle: callers open a new one for each retry and rarely use the earlier ones again.

Now answers close their connection above half of the limit, so idle ones can't fill it, and a host that closes a connection at the limit leaves rotation for some seconds, as it does when processor time is short.

--- a/internal/demo/badinput_test.go
+++ b/internal/demo/badinput_test.go
@@ -149,7 +149,12 @@
 	request := target.ChatRequest{Model: "route-planner", MaxTokens: tokens}
 	want := target.NewAnswer(request, res.Header.Get("X-Request-Id"), Version).Stream()
 	if !bytes.Equal(got, want) {
-		return fmt.Errorf("status %d: %d bytes, want the %d of the own answer", res.StatusCode, len(got), len(want))
+		same := 0
+		for same < min(len(got), len(want)) && got[same] == want[same] {
+			same++
+		}
+		return fmt.Errorf("status %d: %d bytes, want the %d of the own answer; the same up to byte %d, then %.600q",
+			res.StatusCode, len(got), len(want), same, got[same:])
 	}
 	return nil
 }
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -22,14 +22,14 @@
 	// headEnded is true once the header has ended.
 	headEnded          bool
 	conflictingFraming atomic.Bool
-	// closeOnce ensures that the listener counts the close only once.
+	// closeOnce ensures that the close is counted only once.
 	closeOnce sync.Once
-	openConns *atomic.Int64
+	limit     *connLimit
 }
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
-	c.closeOnce.Do(func() { c.openConns.Add(-1) })
+	c.closeOnce.Do(c.limit.release)
 	return c.Conn.Close()
 }
 
@@ -72,36 +72,65 @@
 // nextRequest prepares for the next request on the connection.
 func (c *callerConn) nextRequest() { c.headEnded = false }
 
-// callerListener wraps accepted connections, and closes those above maxOpen.
-// Callers whose request was not read reconnect, mostly to another process,
-// whereas a process that exceeds its memory would lose all connections.
-type callerListener struct {
-	net.Listener
-	maxOpen      int64
-	openConns    atomic.Int64
+// connLimit bounds the open connections of callers. Each costs memory, also while it
+// is idle, and a process that exceeds its memory would lose all of them.
+type connLimit struct {
+	max          int64
+	open         atomic.Int64
 	openGauge    metrics.Gauge
 	closedUnread metrics.Counter
 }
 
-// memoryBytesPerConn is the maximum average memory of a connection with its
-// request.
-const memoryBytesPerConn = 64 << 10
+const (
+	// memoryBytesPerConn is the maximum average memory of a connection with its
+	// request.
+	memoryBytesPerConn = 64 << 10
+	// keepAliveFraction is the fraction of the limit up to which connections stay
+	// open for a next request. Callers that open many and rarely use them again
+	// would otherwise fill the limit with idle connections.
+	keepAliveFraction = 0.5
+)
 
-// newCallerListener returns a listener for a process with the given memory and
-// number of descriptors. Half of the descriptors are reserved for connections
-// to targets.
-func newCallerListener(l net.Listener, memoryBytes int64, descriptors int, registry metrics.Registry) *callerListener {
-	maxConns := memoryBytes / memoryBytesPerConn
+// newConnLimit returns the limit of a process with the given memory and number of
+// descriptors. Half of the descriptors are reserved for connections to targets.
+func newConnLimit(memoryBytes int64, descriptors int, registry metrics.Registry) *connLimit {
+	limit := memoryBytes / memoryBytesPerConn
 	if descriptors > 0 {
-		maxConns = min(maxConns, int64(descriptors)/2)
+		limit = min(limit, int64(descriptors)/2)
 	}
-	return &callerListener{
-		Listener: l, maxOpen: max(1, maxConns),
+	return &connLimit{
+		max:          max(1, limit),
 		openGauge:    metrics.GetOrRegisterGauge(telemetry.Name("caller_connections_open"), registry),
 		closedUnread: metrics.GetOrRegisterCounter(telemetry.Name("connections_closed_unread_total"), registry),
 	}
 }
 
+// acquire counts a connection. It reports false if the limit is reached.
+func (l *connLimit) acquire() bool {
+	if l.open.Add(1) <= l.max {
+		return true
+	}
+	l.open.Add(-1)
+	l.closedUnread.Inc(1)
+	return false
+}
+
+func (l *connLimit) release() { l.open.Add(-1) }
+
+// keepsAlive reports whether connections stay open for a next request.
+func (l *connLimit) keepsAlive() bool {
+	return float64(l.open.Load()) <= keepAliveFraction*float64(l.max)
+}
+
+// callerListener wraps accepted connections, and closes those above the limit.
+// Callers whose request was not read reconnect, mostly to another process.
+type callerListener struct {
+	net.Listener
+	limit *connLimit
+	// onClosedUnread is called for each connection that is closed at the limit.
+	onClosedUnread func()
+}
+
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
 	for {
@@ -109,11 +138,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.openConns.Add(1) <= l.maxOpen {
-			return &callerConn{Conn: conn, openConns: &l.openConns}, nil
+		if l.limit.acquire() {
+			return &callerConn{Conn: conn, limit: l.limit}, nil
 		}
-		l.openConns.Add(-1)
-		l.closedUnread.Inc(1)
+		l.onClosedUnread()
 		// The connection is of no use whether or not closing it fails.
 		_ = conn.Close()
 	}
--- a/internal/gateway/conn_test.go
+++ b/internal/gateway/conn_test.go
@@ -32,7 +32,7 @@
 	is := is.New(t)
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
-	l := newCallerListener(inner, 2*memoryBytesPerConn, 0, metrics.NewRegistry())
+	l := &callerListener{Listener: inner, limit: newConnLimit(2*memoryBytesPerConn, 0, metrics.NewRegistry()), onClosedUnread: func() {}}
 	accepted := make(chan net.Conn, 8)
 	go func() {
 		for {
@@ -55,6 +55,6 @@
 	first := <-accepted
 	is.NoErr(first.Close())
 	is.True(first.Close() != nil) // a second close is not counted
-	is.Equal(l.openConns.Load(), int64(1))
+	is.Equal(l.limit.open.Load(), int64(1))
 	is.NoErr(inner.Close())
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,6 +39,7 @@
 	bodyBudget        *bodyBudget
 	shutdown          shutdownState
 	shedder           *loadShedder
+	connLimit         *connLimit
 	refusalLogLimiter *rate.Limiter
 	log               logr.Logger
 	requestMetrics    requestMetrics
@@ -93,6 +94,7 @@
 		moveTracker:       newMoveTracker(s.Name, s.Bounds.ExposureFraction),
 		bodyBudget:        &bodyBudget{availableBytes: s.MemoryBytes / bodyMemoryDivisor},
 		shedder:           newLoadShedder(s.MaxTimerLag, registry, log),
+		connLimit:         newConnLimit(s.MemoryBytes, s.MaxDescriptors, registry),
 		refusalLogLimiter: rate.NewLimiter(maxRefusalLogsPerSecond, maxRefusalLogsPerSecond),
 		requestMetrics:    newRequestMetrics(registry),
 	}
@@ -142,8 +144,9 @@
 	x := &call{w: w, r: r, ctx: r.Context(), started: time.Now(), tried: make(map[string]bool)}
 	g.shutdown.requestStarted()
 	defer g.shutdown.requestEnded()
-	if g.shutdown.begun() || !g.shedder.ready() {
-		// The caller reconnects to another process.
+	if g.shutdown.begun() || !g.shedder.ready() || !g.connLimit.keepsAlive() {
+		// The caller opens a new connection for its next request, to another process
+		// if this one is not ready.
 		w.Header().Set("Connection", "close")
 	}
 	err := g.shed(x)
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -17,7 +17,9 @@
 // regard to the size of hosts. A timer that fires late means that requests wait
 // for the processor too. Requests whose callers disconnected before they were
 // read are a second signal: they waited in the listen queue, which does not
-// affect timers. Requests are refused before any work is done for them.
+// affect timers. Requests are refused before any work is done for them. While many
+// are refused, or connections are closed at their limit, the process takes no new
+// connections, so that the platform sends callers to other hosts.
 type loadShedder struct {
 	log      logr.Logger
 	lagGauge metrics.Gauge
@@ -33,6 +35,9 @@
 	// unreadDisconnects counts the requests since the last measurement whose
 	// callers disconnected before the request was read.
 	unreadDisconnects atomic.Int64
+	// connsClosedUnread counts the connections since the last measurement that were
+	// closed at the limit.
+	connsClosedUnread atomic.Int64
 	// notReadyFor is the length of the current period in which the process
 	// takes no connections. Only the goroutine of run uses it.
 	notReadyFor time.Duration
@@ -112,7 +117,7 @@
 		permille = max(0, permille-shedStepDownPermille)
 	}
 	o.shedPermille.Store(permille)
-	if permille >= notReadyShedPermille {
+	if o.connsClosedUnread.Swap(0) > 0 || permille >= notReadyShedPermille {
 		o.markNotReady(now.Sub(o.started))
 	}
 	if (before == 0) != (permille == 0) {
@@ -120,6 +125,9 @@
 	}
 }
 
+// connClosedUnread records that a connection was closed at the limit.
+func (o *loadShedder) connClosedUnread() { o.connsClosedUnread.Add(1) }
+
 // markNotReady stops the process from taking new connections for a while. The
 // period doubles each time that the load returns soon after the process takes
 // connections again, since the platform routes the same callers back to it.
--- a/internal/gateway/overloadlog.go
+++ b/internal/gateway/overloadlog.go
@@ -19,16 +19,16 @@
 // logOverload logs what the process turned away without reading it, and which
 // accounts receive much less than they request.
 func (p *Process) logOverload(ctx context.Context) {
-	shedder := p.gateway.shedder
+	shedder, conns := p.gateway.shedder, p.gateway.connLimit
 	var shed, disconnected, closed int64
 	for wait.For(ctx, overloadLogInterval) {
 		shedBefore, disconnectedBefore, closedBefore := shed, disconnected, closed
-		shed, disconnected, closed = shedder.shed.Count(), shedder.disconnected.Count(), p.listener.closedUnread.Count()
-		open := p.listener.openConns.Load()
-		p.listener.openGauge.Update(open)
+		shed, disconnected, closed = shedder.shed.Count(), shedder.disconnected.Count(), conns.closedUnread.Count()
+		open := conns.open.Load()
+		conns.openGauge.Update(open)
 		if shed > shedBefore || disconnected > disconnectedBefore || closed > closedBefore {
 			p.log.Info("requests turned away unread", "shed", shed-shedBefore, "disconnected", disconnected-disconnectedBefore,
-				"connections_closed", closed-closedBefore, "connections_open", open, "connections_max", p.listener.maxOpen,
+				"connections_closed", closed-closedBefore, "connections_open", open, "connections_max", conns.max,
 				"lag_ms", shedder.lagGauge.Value(), "ready", shedder.ready())
 		}
 		p.logUnderserved()
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -57,7 +57,6 @@
 	directory *directory.Directory
 	gateway   *Gateway
 	exchange  *exchange.Exchange
-	listener  *callerListener
 	self      catalog.Member
 }
 
@@ -97,14 +96,13 @@
 	var group conc.WaitGroup
 	for _, task := range []func(context.Context){
 		p.directory.Follow, p.directory.Check, p.exchange.Receive, p.exchange.Send, p.gateway.scheduler.run, p.gateway.shedder.run,
-		p.expireStale, p.sweepIdleConns, p.writeMoveStatuses, p.pruneMembers,
+		p.expireStale, p.sweepIdleConns, p.writeMoveStatuses, p.pruneMembers, p.logOverload,
 	} {
 		group.Go(func() { task(taskCtx) })
 	}
 	group.Go(func() { p.directory.Register(taskCtx, p.self) })
 	auxServers := []*http.Server{p.serveReady(readyListener, &group), p.serveMetrics(metricsListener, &group)}
 	callerServer := p.serveCallers(callerListener, &group)
-	group.Go(func() { p.logOverload(taskCtx) })
 
 	<-ctx.Done()
 	p.stop(callerServer)
@@ -124,8 +122,8 @@
 		MaxHeaderBytes: maxHeaderBytes, ConnContext: connContext, ConnState: connState,
 		ErrorLog: telemetry.StandardLog(p.log),
 	}
-	p.listener = newCallerListener(l, p.settings.MemoryBytes, p.settings.MaxDescriptors, p.registry)
-	group.Go(func() { p.serve(server, p.listener) })
+	listener := &callerListener{Listener: l, limit: p.gateway.connLimit, onClosedUnread: p.gateway.shedder.connClosedUnread}
+	group.Go(func() { p.serve(server, listener) })
 	return server
 }
 
