dispatch: estimate what peers place since their reports

What callers saw: an account whose callers reach one host got less than half of what the best-served account got, for seconds after a rise, and of that account's requests most were refused.

Cause: routers hear of each other's usage every two to three seconds in a fleet of 31. After a rise, each router that the account reaches knew only its own part of it, so an account at all routers counted as within its share at each of them and took the engines' room n times over, while an account at one router was counted exactly, from the first moment. When the reports came, all routers refused the spread account at once; the two then alternated.

Now what peers reported is scaled by the growth of the account's requests, and of what they received, at this router since then: all routers that an account reaches see the same rise. An account that had much less here than at an average peer has just moved here, and its growth here is not taken for one at its peers. The sidecars' counters do the like already (docs/design/fairness.md); the ratio to the share, and what follows from it, are as before.

TestRiseHereCountsAtPeersThatAreAlike fails without either half of the estimate.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -130,7 +130,7 @@
 	}
 	r.prepare()
 	if !r.Resume {
-		d.usage.byHash(r.accountHash).requested.add(r.Size(), now, d.usage.timeConstant)
+		d.usage.addRequested(d.usage.byHash(r.accountHash), r.Size(), now)
 	}
 	d.queue = append(d.queue, r)
 	return true
--- a/internal/dispatch/usage.go
+++ b/internal/dispatch/usage.go
@@ -23,6 +23,10 @@
 // accountUsage is the state of one account.
 type accountUsage struct {
 	requested, received decayingSum
+	// requestedBefore and receivedBefore are earlier values of these sums, and
+	// meanSize the mean size of the account's requests at this router.
+	requestedBefore, receivedBefore history
+	meanSize                        float64
 	// byPeer holds the usage that each peer reported.
 	byPeer map[string]peerUsage
 	// share is the account's max-min share in tokens, or 0 if the account requested
@@ -76,8 +80,12 @@
 	return a
 }
 
-func (u *usage) addRequested(name string, tokens float64, now time.Time) {
-	u.account(name).requested.add(tokens, now, u.timeConstant)
+func (u *usage) addRequested(a *accountUsage, tokens float64, now time.Time) {
+	a.requested.add(tokens, now, u.timeConstant)
+	if a.meanSize == 0 {
+		a.meanSize = tokens
+	}
+	a.meanSize += sizeSmoothing * (tokens - a.meanSize)
 }
 
 func (u *usage) addReceived(name string, tokens float64, now time.Time) {
@@ -99,16 +107,58 @@
 	}
 }
 
+// sample records the present sums of what the account requested and received at this
+// router.
+func (a *accountUsage) sample(now time.Time, timeConstant time.Duration) {
+	a.requestedBefore.record(a.requested.valueAt(now, timeConstant), now)
+	a.receivedBefore.record(a.received.valueAt(now, timeConstant), now)
+}
+
 // totals returns the tokens that an account requested and received in the fleet.
+// Peers report seconds late. Their reports are scaled by the growth at this router in
+// the meantime; otherwise every router would learn seconds after a rise that all
+// others place the account's requests too.
 func (a *accountUsage) totals(now time.Time, timeConstant time.Duration) (requested, received float64) {
 	requested, received = a.requested.valueAt(now, timeConstant), a.received.valueAt(now, timeConstant)
+	if len(a.byPeer) == 0 {
+		return requested, received
+	}
+	var peers peerUsage
+	age := time.Duration(0)
 	for _, p := range a.byPeer {
-		requested += p.requested
-		received += p.received
+		peers.requested += p.requested
+		peers.received += p.received
+		age += now.Sub(p.reportedAt)
 	}
+	age /= time.Duration(len(a.byPeer))
+	requestedBefore, receivedBefore := a.requestedBefore.valueAt(age), a.receivedBefore.valueAt(age)
+	noise := growthNoiseRequests * a.meanSize
+	// An account that had much less here than at an average peer has only come to this
+	// router since, so its growth here says nothing about its peers.
+	similarity := math.Min(1, (requestedBefore+noise)*float64(len(a.byPeer))/math.Max(peers.requested, 1))
+	requested += peers.requested * (1 + similarity*growth(requested, requestedBefore, noise))
+	received += peers.received * (1 + similarity*growth(received, receivedBefore, noise))
 	return requested, received
 }
 
+const (
+	// growthNoiseRequests is the number of requests of mean size that may make up a
+	// growth at one router by chance.
+	growthNoiseRequests = 2
+	// sizeSmoothing is the weight of a request in the mean size of an account's
+	// requests.
+	sizeSmoothing = 0.1
+)
+
+// growth returns the relative growth of a value since an earlier one, at least 0. The
+// earlier one counts as larger by noise, so that few requests make no large growth.
+func growth(value, earlier, noise float64) float64 {
+	if value <= earlier {
+		return 0
+	}
+	return (value - earlier) / (earlier + noise)
+}
+
 // computeShares computes the accounts' max-min shares of the capacity in tokens per
 // second, or of the total that was received if the capacity is 0.
 func (u *usage) computeShares(capacity float64, now time.Time) {
@@ -119,6 +169,7 @@
 	demands := make([]demand, 0, len(u.accounts))
 	total := 0.0
 	for hash, a := range u.accounts {
+		a.sample(now, u.timeConstant)
 		requested, received := a.totals(now, u.timeConstant)
 		a.ratio, a.share = 0, 0
 		if requested < 1 {
--- a/internal/dispatch/usage_test.go
+++ b/internal/dispatch/usage_test.go
@@ -16,7 +16,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	u := newUsage(testWindow)
-	u.addRequested("own", 1000, now)
+	u.addRequested(u.account("own"), 1000, now)
 	u.addReceived("own", 900, now)
 	reported := make([]AccountReport, 9)
 	for i := range reported {
@@ -34,9 +34,9 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	u := newUsage(testWindow)
-	u.addRequested("flood", 100000, now)
+	u.addRequested(u.account("flood"), 100000, now)
 	u.addReceived("flood", 700, now)
-	u.addRequested("village", 100, now)
+	u.addRequested(u.account("village"), 100, now)
 	u.addReceived("village", 100, now)
 	u.computeShares(1000/u.timeConstant.Seconds(), now)
 	is.Equal(u.account("village").ratio, 0.0)
@@ -50,7 +50,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	u := newUsage(testWindow)
-	u.addRequested("a", 1000, now)
+	u.addRequested(u.account("a"), 1000, now)
 	later := now.Add(testWindow / 2)
 	requested, _ := u.account("a").totals(later, u.timeConstant)
 	is.True(requested > 360 && requested < 375) // 1000 / e
@@ -66,7 +66,7 @@
 	d := testDispatcher("edge-0", testView(4, 1))
 	capacity := 290000 * d.usage.timeConstant.Seconds()
 	for _, account := range []string{"slow", "fast"} {
-		d.usage.addRequested(account, 10*capacity, now)
+		d.usage.addRequested(d.usage.account(account), 10*capacity, now)
 	}
 	d.usage.addReceived("slow", 0.7*capacity, now) // 1.4 times its share
 	d.usage.addReceived("fast", 2.4*capacity, now) // 4.8 times
@@ -77,3 +77,48 @@
 	is.Equal(len(d.Decide(now)), 0)
 	is.Equal(decideOne(t, d, promptRequest(d, "slow", 2, 100, 100, now), now).Action, Send)
 }
+
+// playUsage lets an account's requests at a router rise by a factor at second 5, while
+// peers keep reporting what they had before it, and returns the router's estimate
+// 1.5 s after the rise of what the account requested.
+func playUsage(atRouter, atEachPeer, rise float64, peers int) float64 {
+	const size = 1000
+	u := newUsage(testWindow)
+	start := time.Unix(1000, 0)
+	now, due := start, 0.0
+	for at := time.Duration(0); at <= 6500*time.Millisecond; at += shareInterval {
+		now = start.Add(at)
+		rate := atRouter
+		if at >= 5*time.Second {
+			rate *= rise
+		}
+		for due += rate * shareInterval.Seconds(); due >= 1; due-- {
+			u.addRequested(u.account("a"), size, now)
+		}
+		if at == 4900*time.Millisecond {
+			for i := range peers {
+				steady := size * atEachPeer * u.timeConstant.Seconds()
+				u.merge(string(rune('a'+i)), []AccountReport{{AccountHash("a"), steady, steady}}, now)
+			}
+		}
+		u.computeShares(1, now)
+	}
+	requested, _ := u.account("a").totals(now, u.timeConstant)
+	return requested / (size * u.timeConstant.Seconds())
+}
+
+// Guards against routers that learn seconds after a rise that all others see it too,
+// and against taking the move of an account to this router for a rise at its peers.
+func TestRiseHereCountsAtPeersThatAreAlike(t *testing.T) {
+	is := is.New(t)
+	const decayed = 0.5277 // 1 - exp(-1.5 s / 2 s): the part of a new rate that counts after 1.5 s
+	rise := 1 + 19*decayed
+	spread := playUsage(10, 10, 20, 30)
+	is.True(spread > 0.7*31*10*rise && spread < 1.1*31*10*rise)
+	steady := playUsage(10, 10, 1, 30)
+	is.True(steady > 0.9*310 && steady < 1.1*310)
+	alone := playUsage(1000, 1, 20, 2)
+	is.True(alone > 0.9*1000*rise && alone < 1.1*(1000+2)*rise)
+	moved := playUsage(0.01, 1000, 1000*100, 1)
+	is.True(moved < 1.5*(1000+1000*decayed))
+}
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -34,9 +34,12 @@
 	Skew     float64 `yaml:"skew"`
 	// SingleGatewayAccounts are the accounts, by size from 1, whose callers all reach
 	// the same gateway.
-	SingleGatewayAccounts []int   `yaml:"single_gateway_accounts"`
-	Kinds                 []Kind  `yaml:"kinds"`
-	Surges                []Surge `yaml:"surges"`
+	SingleGatewayAccounts []int `yaml:"single_gateway_accounts"`
+	// GatewayChange is the interval in seconds after which the callers of such an
+	// account reach another gateway; 0 if they never do.
+	GatewayChange float64 `yaml:"gateway_change"`
+	Kinds         []Kind  `yaml:"kinds"`
+	Surges        []Surge `yaml:"surges"`
 }
 
 // Kind is a kind of request.
@@ -199,7 +202,11 @@
 	c := &caller{id: id, kind: k, account: accountName(account + 1), at: ms(at * 1000), left: 1}
 	c.gateway = -1
 	if slices.Contains(d.SingleGatewayAccounts, account+1) {
-		c.gateway = account % d.Gateways
+		c.gateway = account
+		if d.GatewayChange > 0 {
+			c.gateway += int(at / d.GatewayChange)
+		}
+		c.gateway %= d.Gateways
 	}
 	key := uint64(kind + 1)
 	for _, p := range k.Shared {
--- a/internal/lab/fairness_test.go
+++ b/internal/lab/fairness_test.go
@@ -91,8 +91,10 @@
 // Guards against an account whose callers reach one gateway getting far less than
 // those whose callers reach all gateways, while both ask for more than there is.
 func TestAccountAtOneGatewayGetsItsPartUnderOverload(t *testing.T) {
+	moving := overload(20, 20, 6, 60)
+	moving.GatewayChange = 5
 	for name, day := range map[string]Workload{
-		"flood": overload(20, 20, 6, 60), "heavier flood": overload(6, 10, 40, 80),
+		"flood": overload(20, 20, 6, 60), "heavier flood": overload(6, 10, 40, 80), "callers move": moving,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
