gateway: late decisions count as lack of processor time

What callers saw: a host of 0.144 core that an account had just moved to answered it after 0.5 to 1.2 s, refused the rest after 0.15 to 0.7 s of waiting, and stayed in rotation for five seconds, so that the account got a fifth of what it had before.

Cause: the host measured its lack of processor time by timers that fire late. Timers fire in time while decisions on queued requests, which take long and pause for eight times as long, come hundreds of milliseconds late.

Now the time by which the next decision is overdue counts as lag too.

TestLateDecisionsCountAsOverload fails without it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,17 +83,18 @@
 
 // New returns a gateway.
 func New(s Settings, codec HeaderCodec, views ViewSource, registry metrics.Registry, log logr.Logger) *Gateway {
+	scheduler := newScheduler(dispatch.Config{
+		Self: s.Name, Zone: s.Zone, ShareWindow: s.Bounds.ShareWindow,
+		ColdOverage: s.Bounds.ColdOverage, ColdTolerance: s.Bounds.ColdTolerance, MaxQueued: maxQueuedRequests,
+	})
 	return &Gateway{
 		settings: s, codec: codec, views: views, log: log,
-		scheduler: newScheduler(dispatch.Config{
-			Self: s.Name, Zone: s.Zone, ShareWindow: s.Bounds.ShareWindow,
-			ColdOverage: s.Bounds.ColdOverage, ColdTolerance: s.Bounds.ColdTolerance, MaxQueued: maxQueuedRequests,
-		}),
+		scheduler:         scheduler,
 		pool:              upstream.NewPool(registry),
 		retries:           newRetryBudgets(s.Bounds),
 		moveTracker:       newMoveTracker(s.Name, s.Bounds.ExposureFraction),
 		bodyBudget:        &bodyBudget{availableBytes: s.MemoryBytes / bodyMemoryDivisor},
-		shedder:           newLoadShedder(s.MaxTimerLag, registry, log),
+		shedder:           newLoadShedder(s.MaxTimerLag, scheduler.decisionLag, registry, log),
 		connLimit:         newConnLimit(s.MemoryBytes, s.MaxDescriptors, registry),
 		refusalLogLimiter: rate.NewLimiter(maxRefusalLogsPerSecond, maxRefusalLogsPerSecond),
 		requestMetrics:    newRequestMetrics(registry),
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -17,12 +17,15 @@
 // regard to the size of hosts. A timer that fires late means that requests wait
 // for the processor too. Requests whose callers disconnected before they were
 // read are a second signal: they waited in the listen queue, which does not
-// affect timers. Requests are refused before any work is done for them. While many
-// are refused, or connections are closed at their limit, the process takes no new
-// connections, so that the platform sends callers to other hosts.
+// affect timers. Late decisions on queued requests are a third one: timers fire in
+// time while other work piles up. Requests are refused before any work is done for
+// them. While many are refused, or connections are closed at their limit, the process
+// takes no new connections, so that the platform sends callers to other hosts.
 type loadShedder struct {
 	log      logr.Logger
 	lagGauge metrics.Gauge
+	// decisionLag returns by how much decisions on queued requests are late.
+	decisionLag func() time.Duration
 	// shed counts the requests that were refused for lack of processor time, and
 	// disconnected those whose callers left before they were read.
 	shed, disconnected metrics.Counter
@@ -75,12 +78,12 @@
 	maxNotReady      = 16 * time.Second
 )
 
-func newLoadShedder(maxLag time.Duration, registry metrics.Registry, log logr.Logger) *loadShedder {
+func newLoadShedder(maxLag time.Duration, decisionLag func() time.Duration, registry metrics.Registry, log logr.Logger) *loadShedder {
 	if maxLag == 0 {
 		maxLag = DefaultMaxTimerLag
 	}
 	return &loadShedder{
-		maxLag: maxLag, log: log, lagGauge: metrics.GetOrRegisterGauge(telemetry.Name("timer_lag_milliseconds"), registry), started: time.Now(),
+		maxLag: maxLag, decisionLag: decisionLag, log: log, lagGauge: metrics.GetOrRegisterGauge(telemetry.Name("timer_lag_milliseconds"), registry), started: time.Now(),
 		shed:         metrics.GetOrRegisterCounter(telemetry.Name("requests_shed_total"), registry),
 		disconnected: metrics.GetOrRegisterCounter(telemetry.Name("unread_disconnects_total"), registry),
 	}
@@ -98,7 +101,8 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		smoothedLag += lagSmoothing * (float64(max(0, now.Sub(last)-lagProbeInterval)) - smoothedLag)
+		lag := max(0, now.Sub(last)-lagProbeInterval, o.decisionLag())
+		smoothedLag += lagSmoothing * (float64(lag) - smoothedLag)
 		last = now
 		o.lagGauge.Update(time.Duration(smoothedLag).Milliseconds())
 		o.update(time.Duration(smoothedLag), now)
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -1,17 +1,23 @@
 package gateway
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/zinniaquay/zinniaquay/internal/dispatch"
 )
 
+func noLag() time.Duration { return 0 }
+
 func TestLoadIsShedUnderTimerLagAndAcceptedAfterRecovery(t *testing.T) {
 	is := is.New(t)
-	o := newLoadShedder(0, metrics.NewRegistry(), logr.Discard())
+	o := newLoadShedder(0, noLag, metrics.NewRegistry(), logr.Discard())
 	now := o.started
 	is.True(!o.shouldShed())
 	is.True(o.ready())
@@ -41,7 +47,7 @@
 // not show in the timer lag.
 func TestUnreadDisconnectsCountAsOverload(t *testing.T) {
 	is := is.New(t)
-	o := newLoadShedder(0, metrics.NewRegistry(), logr.Discard())
+	o := newLoadShedder(0, noLag, metrics.NewRegistry(), logr.Discard())
 	now := o.started
 	for range 10 {
 		o.unreadDisconnects.Add(unreadDisconnectLimit)
@@ -54,7 +60,7 @@
 
 func TestReturningLoadExtendsNotReadyPeriod(t *testing.T) {
 	is := is.New(t)
-	o := newLoadShedder(0, metrics.NewRegistry(), logr.Discard())
+	o := newLoadShedder(0, noLag, metrics.NewRegistry(), logr.Discard())
 	now, lastPeriod := time.Duration(0), time.Duration(0)
 	for range 4 {
 		now += time.Second
@@ -68,3 +74,27 @@
 	o.markNotReady(now)
 	is.Equal(time.Duration(o.notReadyUntil.Load())-now, minNotReady)
 }
+
+// Guards against a host that serves nobody in time and stays in rotation, since its
+// timers fire in time while decisions on queued requests come late.
+func TestLateDecisionsCountAsOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScheduler(dispatch.Config{MaxQueued: 20})
+		o := newLoadShedder(0, s.decisionLag, metrics.NewRegistry(), logr.Discard())
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		go o.run(ctx)
+		for range 20 {
+			// Without a target, a request waits for one.
+			now, sequence := time.Now(), s.dispatcher.NextSequence()
+			s.waiting[sequence] = make(chan dispatch.Decision, 1)
+			s.dispatcher.Enqueue(&dispatch.Request{Sequence: sequence, Arrived: now, Deadline: now.Add(time.Minute)}, now)
+			_, more := s.decideQueued()
+			is.True(more)
+			time.Sleep(200 * time.Millisecond) // the process has no processor time for decisions
+		}
+		is.True(o.shedPermille.Load() >= notReadyShedPermille)
+		is.True(!o.ready())
+	})
+}
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zinniaquay/zinniaquay/internal/catalog"
@@ -18,6 +19,9 @@
 	waiting    map[uint64]chan dispatch.Decision
 	// wake signals run that requests are queued.
 	wake chan struct{}
+	// decidedUnixNano is when the latest decision left requests in the queue; 0 if it
+	// left none.
+	decidedUnixNano atomic.Int64
 }
 
 // decideInterval is the interval between decisions on all queued requests. The
@@ -133,7 +137,22 @@
 	defer s.mu.Unlock()
 	started := time.Now()
 	s.decide(started)
-	return time.Since(started), s.dispatcher.Queued() > 0
+	ended := time.Now()
+	if s.dispatcher.Queued() == 0 {
+		s.decidedUnixNano.Store(0)
+		return ended.Sub(started), false
+	}
+	s.decidedUnixNano.Store(ended.UnixNano())
+	return ended.Sub(started), true
+}
+
+// decisionLag returns by how much the next decision on queued requests is late.
+func (s *scheduler) decisionLag() time.Duration {
+	decided := s.decidedUnixNano.Load()
+	if decided == 0 {
+		return 0
+	}
+	return max(0, time.Since(time.Unix(0, decided))-decideInterval)
 }
 
 // expirePeers drops silent peers.
