upstream, gateway: give up responses without end

What callers saw: a target that sends a header, interim responses or a body without end held the request until its deadline, at a gateway whose memory grew by all that came. A plain body without end was cut at 16 MB and relayed with that length, as if complete.

Cause: nothing bounded what is read of a header; the limit on bodies cut them without an error; skipping a response to another request, or the rest of one, had no limit.

Now a header, with the interim responses before it, may have 64 KB, and a body or a skipped response above 16 MB is an error: the connection is closed, and the request fails as for any other faulty target, or goes to another.

TestEndlessResponsesAreGivenUp failed before for an endless line, header and body and for interim responses (held until the deadline of 2.5 s; 200 for a body of 16 MB); a stream without events passed.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -150,7 +150,7 @@
 		if head.RequestID == "" || head.RequestID == x.attempt.ID {
 			return resp, head, conn.SetReadDeadline(x.deadline.Add(deadlineSlack))
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := skipBody(resp); err != nil {
 			return nil, ResponseHead{}, fmt.Errorf("skip the response to another request: %w", err)
 		}
 	}
@@ -195,12 +195,22 @@
 	return outcome, nil
 }
 
+// errResponseTooLarge means that a response that is not a stream exceeds
+// maxResponseBytes.
+var errResponseTooLarge = fmt.Errorf("the response exceeds %d bytes", maxResponseBytes)
+
 // relayBuffered reads a complete response and relays it.
 func (g *Gateway) relayBuffered(x *call, resp *http.Response) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	if resp.ContentLength > maxResponseBytes {
+		return transferError(x, errResponseTooLarge, "read the whole answer")
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return transferError(x, err, "read the whole answer")
 	}
+	if len(body) > maxResponseBytes {
+		return transferError(x, errResponseTooLarge, "read the whole answer")
+	}
 	g.requestMetrics.firstByte.Update(time.Since(x.started).Milliseconds())
 	x.relay.recordWrite(x.started, time.Now())
 	x.relay.headSent, x.relay.finished = true, true
@@ -219,10 +229,20 @@
 	return nil
 }
 
+// skipBody reads a response to its end. It fails if more than maxResponseBytes are
+// left.
+func skipBody(resp *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes+1))
+	if err == nil && n > maxResponseBytes {
+		return errResponseTooLarge
+	}
+	return err
+}
+
 // releaseConn returns a connection to the pool if its response was read to the
 // end.
 func (g *Gateway) releaseConn(conn *upstream.Conn, resp *http.Response, bodySent <-chan error) {
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+	if err := skipBody(resp); err != nil {
 		conn.Discard()
 		return
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -40,6 +40,8 @@
 	maxIdleConns = 64
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4096
+	// maxHeadBytes bounds what is read of a target's response until its header ends.
+	maxHeadBytes = 64 << 10
 )
 
 // Pool holds the idle connections to all targets. It is safe for concurrent use.
@@ -70,6 +72,8 @@
 	net.Conn
 	addr   string
 	reader *bufio.Reader
+	// limiter bounds what reader reads while it reads a header.
+	limiter *headLimiter
 	// idleSince is when the connection was last put back, and idleUntil the time
 	// from which it must not be reused.
 	idleSince, idleUntil time.Time
@@ -95,7 +99,8 @@
 		return nil, fmt.Errorf("%w to %s: %w", ErrDial, addr, err)
 	}
 	p.opened.Inc(1)
-	return &Conn{Conn: conn, addr: addr, reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
+	limiter := &headLimiter{conn: conn}
+	return &Conn{Conn: conn, addr: addr, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter}, nil
 }
 
 func (p *Pool) popIdle(addr string) *Conn {
@@ -175,9 +180,36 @@
 	_ = c.Close()
 }
 
+// errHeadTooLarge means that a response header, with the interim responses before
+// it, exceeds maxHeadBytes.
+var errHeadTooLarge = fmt.Errorf("the response header exceeds %d bytes", maxHeadBytes)
+
+// headLimiter reads from a connection, and fails after a number of bytes while it is
+// limited.
+type headLimiter struct {
+	conn      net.Conn
+	limited   bool
+	remaining int
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.conn.Read(p)
+	}
+	if l.remaining <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.conn.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
 // ReadResponse reads the head of the response to a request with the given method.
 // It skips interim (1xx) responses.
 func (c *Conn) ReadResponse(method string) (*http.Response, error) {
+	c.limiter.limited, c.limiter.remaining = true, maxHeadBytes
+	defer func() { c.limiter.limited = false }()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
