dispatch: draw which requests of an account over its share may use spare capacity

Cause: an account far over its share may use only targets with little load, and the limit shrinks with its excess. A quarter of the engines had crashed and joined again at 15.5 s. An idle engine is below any limit, and each of 31 routers took it for idle until the others' reports came, two to three seconds later.

Now only a part of such an account's requests may use spare capacity at all, by the same square of the ratio to the least served competitor, drawn once for each request and target. It needs no fresh knowledge and holds for any number of routers. The least served competitor's requests are not drawn.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -25,7 +25,8 @@
 	// over their share.
 	maxOverShareLoad = 0.55
 	maxOverShareWait = 30 * time.Millisecond
-	// overShareExponent is the exponent by which these limits shrink with the ratio
+	// overShareExponent is the exponent by which these limits, and the part of the
+	// requests that may use spare capacity, shrink with the ratio
 	// of an account's usage to that of the least served competing account. Hosts of
 	// low capacity slow some accounts down, and the others must not take all the
 	// spare capacity in the meantime.
@@ -63,18 +64,29 @@
 }
 
 // admitsOverShare reports whether a target has spare capacity for an account
-// that is over its share. The limits shrink with the ratio of the account's
-// usage to that of the least served competing account, so that all of them get
-// the same.
+// that is over its share. The limits, and the part of the requests that may use it,
+// shrink with the ratio of the account's usage to that of the least served competing
+// account, so that all of them get the same.
 func (d *Dispatcher) admitsOverShare(r *Request, c candidate) bool {
 	fraction := 1.0
 	if d.usage.minCompetingRatio > 0 && r.order.overShareRatio > d.usage.minCompetingRatio {
 		fraction = math.Pow(d.usage.minCompetingRatio/r.order.overShareRatio, overShareExponent)
 	}
+	// An idle target has room within any limit, and every router sees it idle until
+	// peers report. So only a part of the requests may use it.
+	if fraction < 1 && d.spareDraw(r, c.target) > fraction {
+		return false
+	}
 	load := float64(c.target.running()) / float64(c.target.Slots)
 	return load <= maxOverShareLoad*fraction && c.wait <= time.Duration(float64(maxOverShareWait)*fraction)
 }
 
+// spareDraw returns a number from 0 to 1 that is fixed for a request and a target,
+// so that a request doesn't draw again with each decision.
+func (d *Dispatcher) spareDraw(r *Request, t *target) float64 {
+	return float64(mix(r.Sequence^t.idHash^d.selfHash)) / math.MaxUint64
+}
+
 // waitExpired reports whether a request is to be refused because it can't meet its
 // deadline or has waited for its maximum time.
 func (d *Dispatcher) waitExpired(r *Request, c candidate, now time.Time) bool {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -36,6 +36,7 @@
 // of each target. It is not safe for concurrent use.
 type Dispatcher struct {
 	config           Config
+	selfHash         uint64
 	view             *catalog.View
 	targets          map[string]*target
 	services         map[string][]*target
@@ -73,7 +74,7 @@
 		config.MaxLateBacklog = DefaultMaxLateBacklog
 	}
 	return &Dispatcher{
-		config: config, view: &catalog.View{},
+		config: config, selfHash: hashName(config.Self), view: &catalog.View{},
 		targets: make(map[string]*target), services: make(map[string][]*target), targetsByShortID: make(map[uint32]*target),
 		inFlight: make(map[uint64]*placement), usage: newUsage(config.ShareWindow), peers: make(map[string]*peer),
 	}
--- a/internal/dispatch/usage_test.go
+++ b/internal/dispatch/usage_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -78,6 +79,39 @@
 	is.Equal(decideOne(t, d, promptRequest(d, "slow", 2, 100, 100, now), now).Action, Send)
 }
 
+// Guards against routers that each place requests of one account on a target which all
+// of them still see idle, such as one that has just joined.
+func TestRoutersDoNotAllTakeTheSameSpareCapacity(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	const routers, requests = 31, 4
+	sent := map[string]int{}
+	for i := range routers {
+		d := testDispatcher(fmt.Sprintf("edge-%d", i), testView(1, routers))
+		capacity := 290000 * d.usage.timeConstant.Seconds()
+		for account, received := range map[string]float64{"least": 0.65 * capacity, "most": 2.6 * capacity} {
+			d.usage.addRequested(d.usage.account(account), 10*capacity, now)
+			d.usage.addReceived(account, received, now)
+		}
+		for range requests {
+			for _, account := range []string{"least", "most"} {
+				r := promptRequest(d, account, 1, 100, 100, now)
+				is.True(d.Enqueue(r, now))
+				for _, decision := range d.Decide(now) {
+					if decision.Action == Send {
+						sent[account]++
+						d.End(r.Sequence, Answered, now)
+					}
+				}
+				d.Withdraw(r.Sequence)
+			}
+		}
+	}
+	is.Equal(sent["least"], routers*requests)
+	// A sixteenth, as the square of the ratio of 4, and three standard deviations.
+	is.True(sent["most"] > 0 && sent["most"] <= routers*requests/16+9)
+}
+
 // playUsage lets an account's requests at a router rise by a factor at second 5, while
 // peers keep reporting what they had before it, and returns the router's estimate
 // 1.5 s after the rise of what the account requested.
