--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -26,10 +26,10 @@
 	maxOverShareLoad = 0.55
 	maxOverShareWait = 30 * time.Millisecond
 	// overShareExponent is the exponent by which these limits, and the part of the
-	// requests that may use spare capacity, shrink with the ratio
-	// of an account's usage to that of the least served competing account. Hosts of
-	// low capacity slow some accounts down, and the others must not take all the
-	// spare capacity in the meantime.
+	// requests that may use spare capacity, shrink with the ratio of an account's
+	// usage to that of the least served competing account. Hosts of low capacity slow
+	// some accounts down, and the others must not take all the spare capacity in the
+	// meantime.
 	overShareExponent = 2
 	// noTargetRetryAfter is the Retry-After of a request without a usable target:
 	// about the time in which a target returns or is replaced.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -35,7 +35,8 @@
 // Dispatcher holds the request queue of one router and its estimate of the state
 // of each target. It is not safe for concurrent use.
 type Dispatcher struct {
-	config           Config
+	config Config
+	// selfHash is the hash of this router's name.
 	selfHash         uint64
 	view             *catalog.View
 	targets          map[string]*target
