gateway: measure overdue decisions by the monotonic clock

A step of the time of day would have counted as lag and taken the host out of rotation. Found by reading; the doc comments of the pieces around it are in line again.

--- a/internal/dispatch/history.go
+++ b/internal/dispatch/history.go
@@ -9,9 +9,9 @@
 	historySamples = 14
 )
 
-// history holds recent samples of a value. It takes them as regular, although the
-// dispatcher takes none while its queue is empty: older samples only make a growth
-// look smaller or larger for seconds.
+// history holds recent samples of a value. Samples count as sampleInterval apart.
+// While the dispatcher's queue is empty it takes none, so a growth right after that
+// may look too small or too large.
 type history struct {
 	samples [historySamples]float64
 	// newest is the index of the newest sample, and at its time.
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -111,7 +111,8 @@
 }
 
 // update adjusts the refused fraction to the smoothed lag and the unread
-// disconnects.
+// disconnects, and stops new connections if that is large or some were closed at
+// their limit.
 func (o *loadShedder) update(lag time.Duration, now time.Time) {
 	before := o.shedPermille.Load()
 	permille := before
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -18,10 +18,11 @@
 	dispatcher *dispatch.Dispatcher
 	waiting    map[uint64]chan dispatch.Decision
 	// wake signals run that requests are queued.
-	wake chan struct{}
-	// decidedUnixNano is when the latest decision left requests in the queue; 0 if it
-	// left none.
-	decidedUnixNano atomic.Int64
+	wake    chan struct{}
+	started time.Time
+	// decidedAt is when the latest decision left requests in the queue, in ns since
+	// started on the monotonic clock; 0 if it left none.
+	decidedAt atomic.Int64
 }
 
 // decideInterval is the interval between decisions on all queued requests. The
@@ -31,7 +32,7 @@
 
 func newScheduler(limits dispatch.Config) *scheduler {
 	return &scheduler{dispatcher: dispatch.New(limits), waiting: make(map[uint64]chan dispatch.Decision),
-		wake: make(chan struct{}, 1)}
+		wake: make(chan struct{}, 1), started: time.Now()}
 }
 
 func (s *scheduler) setView(view *catalog.View) {
@@ -139,20 +140,20 @@
 	s.decide(started)
 	ended := time.Now()
 	if s.dispatcher.Queued() == 0 {
-		s.decidedUnixNano.Store(0)
+		s.decidedAt.Store(0)
 		return ended.Sub(started), false
 	}
-	s.decidedUnixNano.Store(ended.UnixNano())
+	s.decidedAt.Store(max(1, int64(ended.Sub(s.started))))
 	return ended.Sub(started), true
 }
 
 // decisionLag returns by how much the next decision on queued requests is late.
 func (s *scheduler) decisionLag() time.Duration {
-	decided := s.decidedUnixNano.Load()
+	decided := s.decidedAt.Load()
 	if decided == 0 {
 		return 0
 	}
-	return max(0, time.Since(time.Unix(0, decided))-decideInterval)
+	return max(0, time.Since(s.started)-time.Duration(decided)-decideInterval)
 }
 
 // expirePeers drops silent peers.
