gateway: record which requests a target was running when it crashed

A target that ended a connection is now dialed once; if its host refuses the connection and the target was not leaving, "target crashed" lists the parts of the requests that it may just have begun to answer. The connection is kept if the target accepts it. No decision depends on it yet.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -257,11 +257,11 @@
 func TestPrefixCacheEvictsLeastRecentlyUsedParts(t *testing.T) {
 	is := is.New(t)
 	c := newPrefixCache(1000)
-	c.add([]PromptPart{{1, 400}, {2, 400}})
-	is.Equal(c.cachedTokens([]PromptPart{{1, 400}, {2, 400}, {3, 10}}), 800)
-	is.Equal(c.cachedTokens([]PromptPart{{9, 400}, {2, 400}}), 0) // counts only if all parts before it are cached
-	c.add([]PromptPart{{1, 400}, {4, 300}})
-	is.Equal(c.cachedTokens([]PromptPart{{1, 400}, {2, 400}}), 400) // 2 was evicted
+	c.add([]PromptPart{{Key: 1, Tokens: 400}, {Key: 2, Tokens: 400}})
+	is.Equal(c.cachedTokens([]PromptPart{{Key: 1, Tokens: 400}, {Key: 2, Tokens: 400}, {Key: 3, Tokens: 10}}), 800)
+	is.Equal(c.cachedTokens([]PromptPart{{Key: 9, Tokens: 400}, {Key: 2, Tokens: 400}}), 0) // counts only if all parts before it are cached
+	c.add([]PromptPart{{Key: 1, Tokens: 400}, {Key: 4, Tokens: 300}})
+	is.Equal(c.cachedTokens([]PromptPart{{Key: 1, Tokens: 400}, {Key: 2, Tokens: 400}}), 400) // 2 was evicted
 }
 
 func TestUnreachableTargetIsAvoidedWithExponentialBackoff(t *testing.T) {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/zinniaquay/zinniaquay/internal/catalog"
+	"github.com/zinniaquay/zinniaquay/internal/quarantine"
 )
 
 // Config holds the identity of a router and the limits that its decisions use.
@@ -46,6 +47,7 @@
 	inFlight         map[uint64]*placement
 	usage            *usage
 	peers            map[string]*peer
+	quarantine       *quarantine.Tracker
 	sharesUpdated    time.Time
 	lastSequence     uint64
 	// generation is incremented by each SetView.
@@ -78,6 +80,7 @@
 		config: config, selfHash: hashName(config.Self), view: &catalog.View{},
 		targets: make(map[string]*target), services: make(map[string][]*target), targetsByShortID: make(map[uint32]*target),
 		inFlight: make(map[uint64]*placement), usage: newUsage(config.ShareWindow), peers: make(map[string]*peer),
+		quarantine: quarantine.New(),
 	}
 }
 
@@ -108,6 +111,7 @@
 		}
 	}
 	d.sumPeerLoads()
+	d.retainRuns()
 }
 
 // engineMemory returns the memory of a service's engine in tokens, or 0 if it is
@@ -245,6 +249,7 @@
 	t.ownLoad = t.ownLoad.plus(load)
 	t.estimate.round = 0
 	d.inFlight[r.Sequence] = &placement{request: r, target: t, load: load, sentAt: now}
+	d.quarantine.Sent(r.Sequence, t.incarnation, r.sharedParts())
 	if !r.Resume {
 		d.usage.addReceived(r.Account, r.Size(), now)
 	}
@@ -259,6 +264,7 @@
 		return
 	}
 	p.responseStarted = true
+	d.quarantine.Began(sequence, now)
 	t := p.target
 	if p.load.Backlog > 0 {
 		since := p.sentAt
@@ -281,6 +287,7 @@
 	delete(d.inFlight, sequence)
 	p.target.ownLoad = p.target.ownLoad.minus(p.load)
 	p.target.health.record(o, now)
+	d.quarantine.Ended(sequence, o == Answered, o != NotRun, now)
 	if o == NotRun || o == Unreachable {
 		d.usage.addReceived(p.request.Account, -p.request.Size(), now)
 	}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -12,6 +12,8 @@
 
 // PromptPart is a part of a prompt.
 type PromptPart struct {
+	// ID identifies the part, whatever precedes it.
+	ID uint64
 	// Key identifies the prefix that ends with this part.
 	Key uint64
 	// Tokens is the length of the part.
@@ -60,6 +62,19 @@
 	preferredGeneration uint64
 }
 
+// sharedParts returns the IDs of the parts that other requests may share: all but
+// the last.
+func (r *Request) sharedParts() []uint64 {
+	if len(r.Parts) < 2 {
+		return nil
+	}
+	ids := make([]uint64, len(r.Parts)-1)
+	for i := range ids {
+		ids[i] = r.Parts[i].ID
+	}
+	return ids
+}
+
 // prepare computes the fields that don't change while the request is queued.
 func (r *Request) prepare() {
 	r.accountHash = AccountHash(r.Account)
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/zinniaquay/zinniaquay/internal/catalog"
+	"github.com/zinniaquay/zinniaquay/internal/quarantine"
 )
 
 // Load is the load that one or more routers put on a target.
@@ -32,7 +33,11 @@
 	*catalog.Target
 	idHash uint64
 	// shortID identifies the target in reports.
-	shortID     uint32
+	shortID uint32
+	// incarnation identifies this start of the target as evidence on crashes.
+	incarnation uint32
+	// crashed is set once the target was found to have crashed.
+	crashed     bool
 	ownLoad     Load
 	peerLoad    Load
 	cache       *prefixCache
@@ -63,7 +68,9 @@
 		Target:  t,
 		idHash:  idHash,
 		shortID: uint32(idHash & shortIDMask),
-		cache:   newPrefixCache(memory / 2),
+
+		incarnation: quarantine.Incarnation(t.ID, t.StartedUnixMilli),
+		cache:       newPrefixCache(memory / 2),
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,7 @@
 	queued    metrics.Histogram
 	resumed   metrics.Counter
 	retried   metrics.Counter
+	crashes   metrics.Counter
 }
 
 // reservoirSize and decayAlpha are the parameters of go-metrics' exponentially
@@ -73,6 +74,7 @@
 		queued:    histogram("queued_milliseconds"),
 		resumed:   metrics.GetOrRegisterCounter(telemetry.Name("streams_resumed_total"), r),
 		retried:   metrics.GetOrRegisterCounter(telemetry.Name("requests_retried_total"), r),
+		crashes:   metrics.GetOrRegisterCounter(telemetry.Name("target_crashes_total"), r),
 	}
 }
 
@@ -132,8 +134,10 @@
 	service       string
 	configVersion int64
 
-	// tried holds the targets that the request was sent to.
-	tried map[string]bool
+	// tried holds the targets that the request was sent to, and lastTarget is the
+	// latest of them.
+	tried      map[string]bool
+	lastTarget string
 	// mayHaveRun is true if a target may have run the request.
 	mayHaveRun bool
 	relay      relayState
@@ -211,6 +215,7 @@
 		telemetry.KeyRequest, x.attempt.ID, "took_ms", time.Since(x.started).Milliseconds(),
 		"config", x.configVersion, "tried", len(x.tried), "events", x.relay.eventCount,
 		"first_ms", x.relay.firstByteAfter.Milliseconds(), "longest_gap_ms", x.relay.longestGap.Milliseconds(),
+		"target", x.lastTarget,
 	}
 	if x.route != nil {
 		fields = append(fields, "route", x.route.Name, "objective_ms", x.route.Objective.Milliseconds())
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -90,10 +90,13 @@
 		g.scheduler.requestEnded(sequence, dispatch.Abandoned)
 		return err
 	}
-	x.tried[decision.Target] = true
+	x.tried[decision.Target], x.lastTarget = true, decision.Target
 	sentAt := time.Now()
 	outcome, err := g.send(x, decision)
 	g.scheduler.requestEnded(sequence, outcome)
+	if connectionLost(err) {
+		g.checkForCrash(x.ctx, decision)
+	}
 	g.moveTracker.recordOutcome(x.service, decision.Request.Versions, outcome, time.Since(sentAt))
 	if outcome == dispatch.Unreachable && errors.Is(err, errNotSent) {
 		delete(x.tried, decision.Target)
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -8,6 +8,7 @@
 
 	"github.com/zinniaquay/zinniaquay/internal/catalog"
 	"github.com/zinniaquay/zinniaquay/internal/dispatch"
+	"github.com/zinniaquay/zinniaquay/internal/quarantine"
 	"github.com/zinniaquay/zinniaquay/internal/wait"
 )
 
@@ -101,6 +102,21 @@
 	s.dispatcher.End(sequence, o, time.Now())
 }
 
+// mayHaveCrashed reports whether a target that ended a connection may have crashed.
+func (s *scheduler) mayHaveCrashed(target string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.MayHaveCrashed(target)
+}
+
+// targetCrashed records that a target crashed. It reports false if that is known
+// already.
+func (s *scheduler) targetCrashed(target string) (quarantine.Crash, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.TargetCrashed(target, time.Now())
+}
+
 // wakeRun wakes run without blocking.
 func (s *scheduler) wakeRun() {
 	select {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -28,6 +29,9 @@
 	// dialTimeout limits the time to establish a connection; hosts are
 	// milliseconds apart.
 	dialTimeout = 400 * time.Millisecond
+	// refusalTimeout limits the wait for a host to refuse a connection; a host that
+	// runs does so within a round trip.
+	refusalTimeout = 100 * time.Millisecond
 	// maxIdle is the maximum time for which a connection is kept idle. Targets
 	// close idle connections after some seconds.
 	maxIdle = 4 * time.Second
@@ -94,6 +98,24 @@
 		}
 		c.Discard()
 	}
+	return p.dial(ctx, addr)
+}
+
+// Refuses reports whether nothing listens at an address, which is certain only if
+// its host refuses a connection. A connection that is established is kept for a later
+// request.
+func (p *Pool) Refuses(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+	defer cancel()
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.Put(c, "")
+	return false
+}
+
+func (p *Pool) dial(ctx context.Context, addr string) (*Conn, error) {
 	conn, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("%w to %s: %w", ErrDial, addr, err)
