--- /dev/null
+++ b/internal/lab/crash_test.go
@@ -0,0 +1,74 @@
+package lab
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// The operator's bound on crashes: after crashesToLearn crashes under one part and
+// learnTime more, at most mayFollow requests with that part reach targets.
+const (
+	crashesToLearn = 5
+	learnTime      = 3 * time.Second
+	mayFollow      = 3
+)
+
+// fleets are deployments of two sizes, with reports as late as they come there.
+func fleets() []Workload {
+	small, large := HeavyWorkload(), HeavyWorkload()
+	small.Name, small.Gateways, small.ReportMS = "5 gateways", 5, 250
+	large.Name, large.Gateways, large.ReportMS, large.Engines, large.TokensPerSecond = "31 gateways", 31, 3000, 24, 580_000
+	for _, d := range []*Workload{&small, &large} {
+		d.Seconds, d.Surges = 25, nil
+	}
+	return []Workload{small, large}
+}
+
+// crashing returns a fleet with requests that crash engines for most of a day.
+func crashing(d Workload, change func(*Faults)) Workload {
+	d.Faults = Faults{CrashingParts: []CrashingPart{{From: 6, To: 22, PerSecond: 8, Kind: "tag"}}}
+	if change != nil {
+		change(&d.Faults)
+	}
+	return d
+}
+
+// present is the product's own way to decide.
+func present() Strategy {
+	ways := Strategies()
+	return ways[len(ways)-1]
+}
+
+// Guards against prompt parts that crash one target after the other because no gateway sees more than a few of the crashes.
+func TestRequestsThatCrashTargetsStopReachingThem(t *testing.T) {
+	t.Parallel()
+	for _, d := range fleets() {
+		for name, change := range map[string]func(*Faults){
+			"plain":             nil,
+			"reports lost":      func(f *Faults) { f.ReportLoss = 0.4 },
+			"store silent":      func(f *Faults) { f.StoreSilentFrom = 5 },
+			"gateways restart":  func(f *Faults) { f.GatewayRestarts = []GatewayRestart{{7, 0}, {12, 1}, {16, 2}} },
+			"other crashes too": func(f *Faults) { f.EngineCrashes = []EngineCrash{{5, 2}, {7, 1}, {7.5, 1}, {14, 3}} },
+		} {
+			for seed := range uint64(3) {
+				t.Run(fmt.Sprintf("%s, %s, seed %d", d.Name, name, seed), func(t *testing.T) {
+					t.Parallel()
+					is := is.New(t)
+					r := Simulate(crashing(d, change), present(), seed)
+					is.True(len(r.CrashingSent) > 0)
+					if len(r.CrashCauses) < crashesToLearn {
+						return
+					}
+					bound := r.CrashCauses[crashesToLearn-1] + learnTime
+					late := slices.DeleteFunc(slices.Clone(r.CrashingSent), func(sent time.Duration) bool { return sent <= bound })
+					t.Logf("%d crashes, %d requests with the part sent, %d of them later than %v", len(r.CrashCauses), len(r.CrashingSent), len(late), bound)
+					is.True(len(late) <= mayFollow)
+				})
+			}
+		}
+	}
+}
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -40,6 +40,7 @@
 	GatewayChange float64 `yaml:"gateway_change"`
 	Kinds         []Kind  `yaml:"kinds"`
 	Surges        []Surge `yaml:"surges"`
+	Faults        Faults  `yaml:"faults"`
 }
 
 // Kind is a kind of request.
@@ -152,7 +153,7 @@
 			return fmt.Errorf("field kinds: %s: objective_ms, deadline_ms, own and events must be above 0", k.Name)
 		}
 	}
-	return nil
+	return d.checkFaults()
 }
 
 // arrivals returns the day's first attempts in order of time.
@@ -211,9 +212,10 @@
 	key := uint64(kind + 1)
 	for _, p := range k.Shared {
 		key = key*1_000_003 + uint64(rng.IntN(p.Things)) + 1
-		c.parts = append(c.parts, part{key: key, length: p.Tokens})
+		c.parts = append(c.parts, part{id: key, key: key, length: p.Tokens})
 	}
-	c.parts = append(c.parts, part{key: 1<<60 + id, length: k.Own.draw(rng)})
+	own := 1<<60 + id
+	c.parts = append(c.parts, part{id: own, key: own, length: k.Own.draw(rng)})
 	c.out = k.Events.draw(rng) * d.Engine.Stride
 	for _, p := range c.parts {
 		c.in += p.length
--- a/internal/lab/engine.go
+++ b/internal/lab/engine.go
@@ -59,6 +59,8 @@
 	kept    *keeper
 	// stepping says that a step is under way.
 	stepping bool
+	// down says that the engine has crashed.
+	down bool
 	// known holds the shared parts that any engine has read.
 	known map[uint64]bool
 	// read and reread count prompt tokens that were read, and those of shared parts
@@ -219,9 +221,10 @@
 
 // part is a kept part; users counts the running requests that hold it.
 type part struct {
-	key    uint64
-	length int
-	users  int
+	// id identifies the part, and key the prefix that ends with it.
+	id, key uint64
+	length  int
+	users   int
 }
 
 func newKeeper() *keeper { return &keeper{order: list.New(), byKey: make(map[uint64]*list.Element)} }
--- /dev/null
+++ b/internal/lab/faults.go
@@ -0,0 +1,231 @@
+package lab
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/zinniaquay/zinniaquay/internal/catalog"
+	"github.com/zinniaquay/zinniaquay/internal/dispatch"
+)
+
+// CrashingPart is a part of prompts that crashes each engine which begins a response
+// on it.
+type CrashingPart struct {
+	// From and To are when requests with the part come, in seconds, and PerSecond is
+	// how many.
+	From      float64 `yaml:"from"`
+	To        float64 `yaml:"to"`
+	PerSecond float64 `yaml:"per_second"`
+	// Kind is the kind of these requests. The part replaces the last of the parts that
+	// requests of the kind share.
+	Kind string `yaml:"kind"`
+}
+
+// EngineCrash is a crash of some engines at one moment, whatever they run.
+type EngineCrash struct {
+	At    float64 `yaml:"at"`
+	Count int     `yaml:"count"`
+}
+
+// GatewayRestart is a restart of a gateway, which loses all that it knows.
+type GatewayRestart struct {
+	At      float64 `yaml:"at"`
+	Gateway int     `yaml:"gateway"`
+}
+
+// Faults are the faults of a day.
+type Faults struct {
+	CrashingParts   []CrashingPart   `yaml:"crashing_parts"`
+	EngineCrashes   []EngineCrash    `yaml:"engine_crashes"`
+	GatewayRestarts []GatewayRestart `yaml:"gateway_restarts"`
+	// CrashDelayMS is the time from the first token of a response on a crashing part
+	// to the crash, and RestartMS the time after which an engine is back.
+	CrashDelayMS float64 `yaml:"crash_delay_ms"`
+	RestartMS    float64 `yaml:"restart_ms"`
+	// ViewDelayMS is the time after which gateways' views show that an engine crashed or
+	// is back.
+	ViewDelayMS float64 `yaml:"view_delay_ms"`
+	// StoreSilentFrom is when the store falls silent, in seconds, so that views don't
+	// change any more; 0 if it doesn't.
+	StoreSilentFrom float64 `yaml:"store_silent_from"`
+	// ReportLoss is the probability that a report between gateways is lost.
+	ReportLoss float64 `yaml:"report_loss"`
+}
+
+// Defaults of the faults' times, in ms.
+const (
+	defaultCrashDelayMS = 60
+	defaultRestartMS    = 4000
+	defaultViewDelayMS  = 1200
+)
+
+func (f *Faults) setDefaults() {
+	for _, field := range []struct {
+		value *float64
+		ms    float64
+	}{{&f.CrashDelayMS, defaultCrashDelayMS}, {&f.RestartMS, defaultRestartMS}, {&f.ViewDelayMS, defaultViewDelayMS}} {
+		if *field.value == 0 {
+			*field.value = field.ms
+		}
+	}
+}
+
+func (d *Workload) checkFaults() error {
+	for _, p := range d.Faults.CrashingParts {
+		if p.PerSecond <= 0 || !slices.ContainsFunc(d.Kinds, func(k Kind) bool { return k.Name == p.Kind && len(k.Shared) > 0 }) {
+			return fmt.Errorf("field faults.crashing_parts: per_second must be above 0, and kind %q one with shared parts", p.Kind)
+		}
+	}
+	for _, r := range d.Faults.GatewayRestarts {
+		if r.Gateway < 0 || r.Gateway >= d.Gateways {
+			return fmt.Errorf("field faults.gateway_restarts: there is no gateway %d", r.Gateway)
+		}
+	}
+	return nil
+}
+
+// crashingPartID is the ID of the first crashing part of a day. No other part has one
+// that high.
+const crashingPartID = uint64(1) << 62
+
+// crashingCallers returns the callers whose requests hold crashing parts.
+func (d *Workload) crashingCallers(seed uint64, firstID uint64) []*caller {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	var callers []*caller
+	for i, p := range d.Faults.CrashingParts {
+		kind := slices.IndexFunc(d.Kinds, func(k Kind) bool { return k.Name == p.Kind })
+		for at := p.From + rng.ExpFloat64()/p.PerSecond; at < p.To; at += rng.ExpFloat64() / p.PerSecond {
+			c := d.caller(rng, firstID+uint64(len(callers)), at, kind, rng.IntN(d.Accounts))
+			c.crashing = true
+			replaced := &c.parts[max(0, len(c.parts)-2)]
+			replaced.id = crashingPartID + uint64(i)
+			replaced.key ^= replaced.id
+			callers = append(callers, c)
+		}
+	}
+	return callers
+}
+
+// scheduleFaults puts the faults of a day on its agenda.
+func (w *world) scheduleFaults() {
+	f := w.day.Faults
+	for _, c := range f.EngineCrashes {
+		w.after(ms(c.At*1000), func() {
+			up := slices.DeleteFunc(slices.Sorted(maps.Keys(w.engines)), func(id string) bool { return w.engines[id].down })
+			w.rng.Shuffle(len(up), func(i, j int) { up[i], up[j] = up[j], up[i] })
+			for _, id := range up[:min(c.Count, len(up))] {
+				w.crash(w.engines[id])
+			}
+		})
+	}
+	for _, r := range f.GatewayRestarts {
+		w.after(ms(r.At*1000), func() { w.restart(w.gateways[r.Gateway]) })
+	}
+}
+
+// crash ends an engine with all that it runs; another incarnation follows. It reports
+// false if the engine has crashed already.
+func (w *world) crash(e *engine) bool {
+	if e.down {
+		return false
+	}
+	e.down = true
+	lost := make(map[*gateway][]*call)
+	for _, j := range slices.Concat(e.waiting, e.running) {
+		if x := j.call; !x.done {
+			lost[x.gateway] = append(lost[x.gateway], x)
+		}
+	}
+	e.waiting, e.running = nil, nil
+	for _, g := range w.gateways {
+		if calls := lost[g]; len(calls) > 0 {
+			w.after(w.hop(), func() { w.connectionsLost(g, calls, e.id) })
+		}
+	}
+	w.after(ms(w.day.Faults.ViewDelayMS), func() { w.register(e.id, 0) })
+	w.after(ms(w.day.Faults.RestartMS), func() {
+		w.starts++
+		next := newEngine(e.id, w.day.Engine, e.known)
+		w.engines[e.id] = next
+		w.played = append(w.played, next)
+		started := int64(w.starts)
+		w.after(ms(w.day.Faults.ViewDelayMS), func() { w.register(e.id, started) })
+	})
+	return true
+}
+
+// connectionsLost tells a gateway that its requests at an engine lost their
+// connections, and that the engine refuses others.
+func (w *world) connectionsLost(g *gateway, calls []*call, engine string) {
+	for i, x := range calls {
+		if x.done {
+			continue
+		}
+		if i == 0 {
+			x.policy.TargetCrashed(engine, w.time())
+		}
+		o := dispatch.Failed
+		if x.caller.first == 0 {
+			o = dispatch.Unreachable
+		}
+		w.end(x, o)
+		w.refuse(x, "target crashed", crashedRetry)
+	}
+	w.decide(g)
+	w.tick(g)
+}
+
+// crashedRetry is when callers come back whose target crashed.
+const crashedRetry = 50 * time.Millisecond
+
+// refused tells a gateway that nothing listens at an engine's address; the request
+// was not sent, and another target is chosen.
+func (w *world) refused(x *call) {
+	if x.done {
+		return
+	}
+	x.done = true
+	w.end(x, dispatch.Unreachable)
+	w.enqueue(x.caller, x.gateway, x.request.Arrived)
+}
+
+// register puts an incarnation of an engine into all views, or takes the engine out if
+// started is 0.
+func (w *world) register(id string, started int64) {
+	if f := w.day.Faults; f.StoreSilentFrom > 0 && w.now >= ms(f.StoreSilentFrom*1000) {
+		return
+	}
+	view := *w.view
+	view.Targets = maps.Clone(w.view.Targets)
+	if started == 0 {
+		delete(view.Targets, id)
+	} else {
+		view.Targets[id] = w.day.target(id, started)
+	}
+	w.view = &view
+	for _, g := range w.gateways {
+		g.policy.SetView(w.view)
+		w.decide(g)
+	}
+}
+
+func (d *Workload) target(id string, started int64) *catalog.Target {
+	return &catalog.Target{ID: id, Service: service, Addr: id, Zone: "a", Slots: d.Engine.Slots, StartedUnixMilli: started}
+}
+
+// restart replaces a gateway by one that knows only the view.
+func (w *world) restart(g *gateway) {
+	for _, x := range g.calls {
+		if !x.done {
+			if x.engine != nil {
+				x.engine.remove(x)
+			}
+			w.refuse(x, "gateway restarted", crashedRetry)
+		}
+	}
+	g.calls = make(map[uint64]*call)
+	g.policy = w.strategy.New(g.name, w.day, w.view)
+}
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -5,8 +5,11 @@
 
 import (
 	"container/heap"
+	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/zinniaquay/zinniaquay/internal/catalog"
 	"github.com/zinniaquay/zinniaquay/internal/dispatch"
 )
 
@@ -30,6 +33,8 @@
 	ended ending
 	// reason is why the last attempt was refused.
 	reason string
+	// crashing says that the prompt holds a part that crashes engines.
+	crashing bool
 }
 
 // ending says how a caller's request ended.
@@ -44,10 +49,14 @@
 
 // call is one attempt of a caller.
 type call struct {
-	caller    *caller
-	request   *dispatch.Request
-	gateway   *gateway
-	engine    *engine
+	caller  *caller
+	request *dispatch.Request
+	gateway *gateway
+	// policy is that of the gateway when the attempt came.
+	policy Policy
+	engine *engine
+	// sent is when the request was sent to its engine.
+	sent      time.Duration
 	out       int
 	lastEvent time.Duration
 	done      bool
@@ -91,6 +100,17 @@
 	order    int
 	gateways []*gateway
 	engines  map[string]*engine
+	strategy Strategy
+	view     *catalog.View
+	// played holds all incarnations of engines, and starts counts those after the
+	// first.
+	played []*engine
+	starts int
+	// rng draws what faults hit and which reports are lost.
+	rng *rand.Rand
+	// crashCauses holds when engines crashed under a crashing part, and crashingSent
+	// when the requests with such a part were sent that reached an engine.
+	crashCauses, crashingSent []time.Duration
 }
 
 // decideEvery is the pause between decisions while requests wait, as in the product.
@@ -101,11 +121,14 @@
 	if w.SingleGateway {
 		d.Gateways, d.HopMS = 1, 0
 	}
-	world := newWorld(d, w)
+	d.Faults.setDefaults()
+	world := newWorld(d, w, seed)
 	callers := d.arrivals(seed)
-	for _, c := range callers {
+	crashing := d.crashingCallers(seed, uint64(len(callers)+1))
+	for _, c := range slices.Concat(callers, crashing) {
 		world.after(c.at, func() { world.attempt(c) })
 	}
+	world.scheduleFaults()
 	for world.agenda.Len() > 0 {
 		e := heap.Pop(&world.agenda).(event)
 		world.now = e.at
@@ -114,11 +137,13 @@
 	return newResult(&d, w.Name, callers, world)
 }
 
-func newWorld(d Workload, w Strategy) *world {
-	world := &world{day: d, engines: make(map[string]*engine)}
+func newWorld(d Workload, w Strategy, seed uint64) *world {
 	view, known := viewOf(&d), make(map[uint64]bool)
+	world := &world{day: d, strategy: w, view: view, engines: make(map[string]*engine), rng: rand.New(rand.NewPCG(seed, 3))}
 	for i := range d.Engines {
-		world.engines[engineID(i)] = newEngine(engineID(i), d.Engine, known)
+		e := newEngine(engineID(i), d.Engine, known)
+		world.engines[e.id] = e
+		world.played = append(world.played, e)
 	}
 	for i := range d.Gateways {
 		world.gateways = append(world.gateways, &gateway{
@@ -149,7 +174,7 @@
 func (w *world) reports(from *gateway) {
 	r := from.policy.Report(true, w.time())
 	for _, to := range w.gateways {
-		if to != from {
+		if to != from && !w.lost() {
 			w.after(w.hop(), func() { to.policy.Merge(from.name, r, w.time()) })
 		}
 	}
@@ -158,20 +183,30 @@
 	}
 }
 
+// lost draws whether a report is lost.
+func (w *world) lost() bool {
+	return w.day.Faults.ReportLoss > 0 && w.rng.Float64() < w.day.Faults.ReportLoss
+}
+
 // attempt lets a caller ask a gateway, another one each time.
 func (w *world) attempt(c *caller) {
 	g := w.gateways[(c.id*7+uint64(c.left))%uint64(len(w.gateways))]
 	if c.gateway >= 0 {
 		g = w.gateways[c.gateway]
 	}
+	w.enqueue(c, g, w.time())
+}
+
+// enqueue queues a request at a gateway.
+func (w *world) enqueue(c *caller, g *gateway, arrived time.Time) {
 	r := &dispatch.Request{
-		Sequence: g.policy.NextSequence(), Account: c.account, Service: service, Priority: 1, Arrived: w.time(),
+		Sequence: g.policy.NextSequence(), Account: c.account, Service: service, Priority: 1, Arrived: arrived,
 		Objective: ms(c.kind.ObjectiveMS), Deadline: start.Add(c.at + ms(c.kind.DeadlineMS)), TokensIn: c.in, TokensOut: c.out,
 	}
 	for _, p := range c.parts {
-		r.Parts = append(r.Parts, dispatch.PromptPart{Key: p.key, Tokens: p.length})
+		r.Parts = append(r.Parts, dispatch.PromptPart{ID: p.id, Key: p.key, Tokens: p.length})
 	}
-	x := &call{caller: c, request: r, gateway: g, out: c.out}
+	x := &call{caller: c, request: r, gateway: g, policy: g.policy, out: c.out}
 	if !g.policy.Enqueue(r, w.time()) {
 		w.refuse(x, "full", time.Second)
 		return
@@ -205,7 +240,7 @@
 			w.refuse(x, reasons[decision.Action], decision.RetryAfter)
 			continue
 		}
-		x.engine = w.engines[decision.Target]
+		x.engine, x.sent = w.engines[decision.Target], w.now
 		w.after(w.hop(), func() { w.arrive(x) })
 	}
 }
@@ -235,6 +270,13 @@
 	if x.done {
 		return
 	}
+	if x.engine.down {
+		w.after(w.hop(), func() { w.refused(x) })
+		return
+	}
+	if x.caller.crashing {
+		w.crashingSent = append(w.crashingSent, x.sent)
+	}
 	if !x.engine.add(x) {
 		w.end(x, dispatch.NotRun)
 		w.refuse(x, "engine full", fullRetry)
@@ -255,6 +297,9 @@
 		return
 	}
 	w.after(ms(took), func() {
+		if e.down {
+			return
+		}
 		for _, j := range e.finish(took) {
 			w.token(j)
 		}
@@ -269,7 +314,15 @@
 	if j.made == 1 {
 		c.first, c.begun = now-c.at, w.now
 		x.lastEvent = now
-		w.after(w.hop(), func() { x.gateway.policy.ResponseStarted(x.request.Sequence, w.time()) })
+		w.after(w.hop(), func() { x.policy.ResponseStarted(x.request.Sequence, w.time()) })
+		if c.crashing {
+			e := x.engine
+			w.after(ms(w.day.Faults.CrashDelayMS), func() {
+				if w.crash(e) {
+					w.crashCauses = append(w.crashCauses, w.now)
+				}
+			})
+		}
 	}
 	if j.made%w.day.Engine.Stride == 0 || j.made == x.out {
 		c.gap = max(c.gap, now-x.lastEvent)
@@ -283,8 +336,10 @@
 }
 
 func (w *world) end(x *call, o dispatch.Outcome) {
-	delete(x.gateway.calls, x.request.Sequence)
-	x.gateway.policy.End(x.request.Sequence, o, w.time())
+	if x.gateway.calls[x.request.Sequence] == x {
+		delete(x.gateway.calls, x.request.Sequence)
+	}
+	x.policy.End(x.request.Sequence, o, w.time())
 }
 
 // giveUp lets a caller leave whose deadline has passed.
@@ -294,7 +349,7 @@
 	}
 	x.done = true
 	x.caller.ended = gaveUp
-	if x.gateway.policy.Withdraw(x.request.Sequence) {
+	if x.policy.Withdraw(x.request.Sequence) {
 		delete(x.gateway.calls, x.request.Sequence)
 		return
 	}
--- a/internal/lab/policy.go
+++ b/internal/lab/policy.go
@@ -10,6 +10,7 @@
 
 	"github.com/zinniaquay/zinniaquay/internal/catalog"
 	"github.com/zinniaquay/zinniaquay/internal/dispatch"
+	"github.com/zinniaquay/zinniaquay/internal/quarantine"
 )
 
 // Policy decides where and when the requests of one gateway run.
@@ -24,6 +25,8 @@
 	End(sequence uint64, o dispatch.Outcome, now time.Time)
 	Report(slow bool, now time.Time) dispatch.Report
 	Merge(name string, r dispatch.Report, now time.Time)
+	SetView(view *catalog.View)
+	TargetCrashed(id string, now time.Time) (quarantine.Crash, bool)
 }
 
 // Strategy is a way of deciding that the lab can play.
@@ -85,7 +88,7 @@
 	}
 	for i := range d.Engines {
 		id := engineID(i)
-		v.Targets[id] = &catalog.Target{ID: id, Service: service, Addr: id, Zone: "a", Slots: d.Engine.Slots}
+		v.Targets[id] = d.target(id, 0)
 	}
 	for i := range d.Gateways {
 		v.Members[gatewayName(i)] = catalog.Member{Name: gatewayName(i)}
@@ -216,5 +219,13 @@
 	return r
 }
 
+// SetView implements Policy; engines come back under the same ID.
+func (d *direct) SetView(*catalog.View) {}
+
+// TargetCrashed implements Policy; nothing depends on it.
+func (d *direct) TargetCrashed(string, time.Time) (quarantine.Crash, bool) {
+	return quarantine.Crash{}, false
+}
+
 // Merge implements Policy.
 func (d *direct) Merge(name string, r dispatch.Report, _ time.Time) { d.peers[name] = r }
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -70,6 +70,10 @@
 	Busy, Batch float64
 	// Bound is the share of the worth owed that engine time alone allows.
 	Bound float64
+	// CrashCauses holds when engines crashed under a crashing part, and CrashingSent
+	// when the requests with such a part were sent that reached an engine. These
+	// requests count nowhere else.
+	CrashCauses, CrashingSent []time.Duration
 }
 
 // windowLength is the length of the windows that are tallied.
@@ -96,7 +100,7 @@
 	}
 	slices.Sort(r.All.First)
 	busy, steps, batch := 0.0, 0, 0
-	for _, e := range w.engines {
+	for _, e := range w.played {
 		r.Read += e.read
 		r.Reread += e.reread
 		r.Preempted += e.preempted
@@ -105,6 +109,7 @@
 		batch += e.batch
 	}
 	r.Busy, r.Batch = busy/(d.Seconds*1000*float64(d.Engines)), float64(batch)/math.Max(1, float64(steps))
+	r.CrashCauses, r.CrashingSent = w.crashCauses, w.crashingSent
 	r.Bound = d.bound(callers) / r.All.Owed
 	return r
 }
