gateway: streams that end inside an event, or by a crash, are broken off

Callers got a stream as complete that its target had broken off: one without a length or chunks that ended inside an event, or whose target crashed between two events, since such a response ends with its connection either way. The same held for plain responses, and for a framed stream that ended inside an event.

What follows the last whole event now makes the response incomplete; it is resumed, or the caller's connection is cut. At the end of a response that ends with its connection the target is dialed: if it refuses at once, the response was cut by a crash.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -12,13 +12,20 @@
 // leaving or that its version was replaced.
 func (d *Dispatcher) MayHaveCrashed(id string, now time.Time) bool {
 	t := d.targets[id]
-	if t == nil || t.Leaving || now.Sub(t.crashedAt) < quarantine.RestartTime {
+	if t == nil || t.Leaving || d.JustCrashed(id, now) {
 		return false
 	}
 	status, moved := d.view.MoveStatuses[t.Service]
 	return !moved || status.State == catalog.InProgress || (status.State == catalog.Completed) == (status.To == t.Version)
 }
 
+// JustCrashed reports whether a target was found to have crashed and can't have
+// restarted since.
+func (d *Dispatcher) JustCrashed(id string, now time.Time) bool {
+	t := d.targets[id]
+	return t != nil && now.Sub(t.crashedAt) < quarantine.RestartTime
+}
+
 // TargetCrashed records that a target crashed. It reports false if that can't be so
 // or is known already.
 func (d *Dispatcher) TargetCrashed(id string, now time.Time) (quarantine.Crash, bool) {
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"syscall"
 
 	"github.com/zinniaquay/zinniaquay/internal/dispatch"
@@ -42,6 +43,26 @@
 		errors.Is(err, syscall.EPIPE)
 }
 
+// errCutByCrash means that a response ended with its connection because its target
+// crashed.
+var errCutByCrash = fmt.Errorf("the target crashed: %w", io.ErrUnexpectedEOF)
+
+// endsWithConnection reports whether a response has neither a length nor chunks, so that
+// only the end of its connection ends it.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// cutByCrash reports whether a response that ended with its connection is incomplete
+// since its target crashed. On the connection both look the same.
+func (g *Gateway) cutByCrash(ctx context.Context, d dispatch.Decision, resp *http.Response) bool {
+	if !endsWithConnection(resp) {
+		return false
+	}
+	g.checkForCrash(ctx, d)
+	return g.scheduler.justCrashed(d.Target)
+}
+
 // checkForCrash finds out whether a target that ended a connection has crashed: then
 // nothing listens at its address. A target that only broke off one response still
 // accepts connections, and one in a network partition or without power doesn't refuse
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -74,7 +75,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return g.endStream(x, resp, buffer[:buffered])
+			return g.endStream(x, d, resp, buffer[:buffered])
 		case err != nil:
 			return transferError(x, err, "read the next event")
 		case buffered == len(buffer):
@@ -129,8 +130,15 @@
 	x.w.WriteHeader(resp.StatusCode)
 }
 
-// endStream completes the response after its target has ended the stream.
-func (g *Gateway) endStream(x *call, resp *http.Response, rest []byte) error {
+// endStream completes the response after its target has ended the stream. rest is what
+// followed the last complete event.
+func (g *Gateway) endStream(x *call, d dispatch.Decision, resp *http.Response, rest []byte) error {
+	if len(bytes.TrimSpace(rest)) > 0 {
+		return transferError(x, fmt.Errorf("the stream ended inside an event: %w", io.ErrUnexpectedEOF), "read the next event")
+	}
+	if g.cutByCrash(x.ctx, d, resp) {
+		return transferError(x, errCutByCrash, "read the next event")
+	}
 	if !x.relay.headSent {
 		g.writeHead(x, resp)
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -186,7 +186,7 @@
 		err = g.relayStream(x, d, conn, resp)
 	} else {
 		g.scheduler.responseStarted(d.Request.Sequence)
-		err = g.relayBuffered(x, resp)
+		err = g.relayBuffered(x, d, resp)
 	}
 	if err != nil {
 		return dispatch.Failed, err
@@ -200,7 +200,7 @@
 var errResponseTooLarge = fmt.Errorf("the response exceeds %d bytes", maxResponseBytes)
 
 // relayBuffered reads a complete response and relays it.
-func (g *Gateway) relayBuffered(x *call, resp *http.Response) error {
+func (g *Gateway) relayBuffered(x *call, d dispatch.Decision, resp *http.Response) error {
 	if resp.ContentLength > maxResponseBytes {
 		return transferError(x, errResponseTooLarge, "read the whole answer")
 	}
@@ -211,6 +211,9 @@
 	if len(body) > maxResponseBytes {
 		return transferError(x, errResponseTooLarge, "read the whole answer")
 	}
+	if g.cutByCrash(x.ctx, d, resp) {
+		return transferError(x, errCutByCrash, "read the whole answer")
+	}
 	g.requestMetrics.firstByte.Update(time.Since(x.started).Milliseconds())
 	x.relay.recordWrite(x.started, time.Now())
 	x.relay.headSent, x.relay.finished = true, true
@@ -259,7 +262,7 @@
 			return
 		}
 	}
-	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if resp.Close || endsWithConnection(resp) {
 		conn.Discard()
 		return
 	}
