quarantine: parts with the same evidence are refused only together

Parts with exactly the same evidence are now quarantined together, and only requests that hold all of them are refused. The next request with one of them alone tells them apart: a crash releases the other, a response releases that one. Verdicts are worked out anew from all evidence with each change.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -26,7 +26,9 @@
 	// proven is set if a target survived a response on the part at any time.
 	proven      bool
 	quarantined bool
-	changed     time.Time
+	// together are the parts with the same evidence, if it is quarantined.
+	together *group
+	changed  time.Time
 	// trialSequence is the last request with the part that was let through on trial,
 	// at trialSent.
 	trialSequence uint64
@@ -77,11 +79,11 @@
 	return n
 }
 
-// guilty reports whether the evidence suffices to quarantine a part, or to keep it in
-// quarantine.
-func (t *Tracker) guilty(s *suspicion, now time.Time) bool {
+// guilty reports whether the evidence suffices to quarantine a part, or to keep one that
+// was quarantined before.
+func (t *Tracker) guilty(s *suspicion, before bool, now time.Time) bool {
 	n := t.count(s)
-	if s.quarantined || n < crashThreshold {
+	if before || n < crashThreshold {
 		return n >= crashThreshold
 	}
 	required := crashThreshold
@@ -245,50 +247,82 @@
 	return sent.After(crashed) && sent.Sub(crashed) < RestartTime
 }
 
-// judge quarantines the parts against which there is enough evidence, the strongest
-// first, and releases those against which there no longer is.
+// judge decides which parts are quarantined. The strongest evidence goes first, since
+// crashes that it explains don't speak against other parts. Parts with the same evidence
+// can't be told apart, and are quarantined together.
 func (t *Tracker) judge(now time.Time) {
 	if len(t.suspicions) == 0 {
 		return
 	}
-	for _, s := range t.suspicions {
-		if s.quarantined && !t.guilty(s, now) {
-			t.setQuarantined(s, false, now)
+	before := make(map[uint64]bool)
+	for part, s := range t.suspicions {
+		if s.quarantined {
+			before[part] = true
 		}
 	}
-	for {
-		t.updateExplained()
-		var worst *suspicion
-		for _, s := range t.suspicions {
-			if !s.quarantined && t.guilty(s, now) && (worst == nil || t.compareStrength(s, worst) < 0) {
-				worst = s
-			}
+	clear(t.explained)
+	var accepted []*suspicion
+	for _, s := range t.byStrength() {
+		quarantined := before[s.part]
+		s.quarantined, s.together = false, nil
+		if i := slices.IndexFunc(accepted, s.sameEvidence); i >= 0 {
+			s.quarantined, s.together = true, accepted[i].together
+			s.together.parts = append(s.together.parts, s.part)
+			continue
 		}
-		if worst == nil {
-			return
+		if !t.guilty(s, quarantined, now) {
+			continue
+		}
+		s.quarantined, s.together = true, &group{parts: []uint64{s.part}}
+		accepted = append(accepted, s)
+		for _, c := range s.crashes {
+			t.explained[c.target] = t.explained[c.target] || !c.void
+		}
+	}
+	for _, s := range t.suspicions {
+		if s.quarantined != before[s.part] {
+			s.changed = now
+			t.addVerdict(s, now)
 		}
-		t.setQuarantined(worst, true, now)
 	}
 }
 
-func (t *Tracker) setQuarantined(s *suspicion, quarantined bool, now time.Time) {
-	s.quarantined, s.changed = quarantined, now
-	t.addVerdict(s, now)
-}
-
-// updateExplained collects the crashes that quarantined parts explain.
-func (t *Tracker) updateExplained() {
+// byStrength returns the suspicions with evidence enough for a verdict, the strongest
+// first, by all of their crashes.
+func (t *Tracker) byStrength() []*suspicion {
 	clear(t.explained)
+	var ranked []*suspicion
 	for _, s := range t.suspicions {
-		if !s.quarantined {
-			continue
+		if t.count(s) >= crashThreshold {
+			ranked = append(ranked, s)
+		} else {
+			s.quarantined, s.together = false, nil
 		}
-		for _, c := range s.crashes {
-			if !c.void {
-				t.explained[c.target] = true
-			}
+	}
+	slices.SortFunc(ranked, func(a, b *suspicion) int {
+		return cmp.Or(compareBool(a.proven, b.proven), -cmp.Compare(t.count(a), t.count(b)), cmp.Compare(a.part, b.part))
+	})
+	return ranked
+}
+
+// group holds parts that are quarantined together: requests that hold all of them are
+// refused.
+type group struct{ parts []uint64 }
+
+// sameEvidence reports whether the same crashes speak against two parts.
+func (s *suspicion) sameEvidence(o *suspicion) bool {
+	return s.proven == o.proven && s.holdsAll(o) && o.holdsAll(s)
+}
+
+// holdsAll reports whether all crashes that speak against another part speak against
+// this one.
+func (s *suspicion) holdsAll(o *suspicion) bool {
+	for _, c := range o.crashes {
+		if !c.void && !slices.ContainsFunc(s.crashes, func(own crash) bool { return own.target == c.target && !own.void }) {
+			return false
 		}
 	}
+	return true
 }
 
 // compareStrength orders suspicions, the strongest first.
@@ -318,7 +352,8 @@
 			continue
 		}
 		if s.quarantined {
-			t.setQuarantined(s, false, now)
+			s.quarantined, s.together = false, nil
+			t.addVerdict(s, now)
 		}
 		s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return now.Sub(c.at) >= evidenceAge })
 		if len(s.crashes) == 0 && now.Sub(s.changed) >= evidenceAge {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -58,7 +58,7 @@
 	}
 	t.runs.add(&run{sequence: sequence, target: target, parts: parts, sent: now})
 	for _, part := range parts {
-		if s := t.suspicions[part]; s != nil && s.quarantined {
+		if s := t.suspicions[part]; s.blocks(parts) {
 			s.trialSequence, s.trialSent = sequence, now
 		}
 	}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// minQuarantine is how long a part is quarantined after the last crash before one
@@ -28,17 +31,31 @@
 // is, or if this router may try one request with it.
 func (t *Tracker) Blocked(parts []uint64, now time.Time) (part uint64, blocked bool) {
 	for _, part := range parts {
-		if s := t.suspicions[part]; s != nil && s.quarantined && !t.mayTry(s, now) {
+		if s := t.suspicions[part]; s.blocks(parts) && !t.mayTry(s, now) {
 			return part, true
 		}
 	}
 	return 0, false
 }
 
+// blocks reports whether a part is quarantined, with all parts that are quarantined
+// together with it among those of a request.
+func (s *suspicion) blocks(parts []uint64) bool {
+	if s == nil || !s.quarantined {
+		return false
+	}
+	for _, part := range s.together.parts {
+		if !slices.Contains(parts, part) {
+			return false
+		}
+	}
+	return true
+}
+
 // BlockedSince is Blocked for a request that was let through before.
 func (t *Tracker) BlockedSince(sequence uint64, parts []uint64) (part uint64, blocked bool) {
 	for _, part := range parts {
-		if s := t.suspicions[part]; s != nil && s.quarantined && s.trialSequence != sequence {
+		if s := t.suspicions[part]; s.blocks(parts) && s.trialSequence != sequence {
 			return part, true
 		}
 	}
