gateway: log the request rates that targets name

Needed to tell the hypotheses on LIMIT apart: nothing showed that a target names a limit, when, and to which gateway. No decision depends on it yet.

--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -44,6 +44,7 @@
 	prefillRate prefillRate
 	health      health
 	coldLimit   tokenBucket
+	limit       namedLimit
 	// peerReportedAt is when a peer last reported on the target.
 	peerReportedAt time.Time
 	// takesLongPrompts reports whether the target is marked for long prompts.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,8 @@
 	crashes   metrics.Counter
 	// quarantined counts the prompt parts that were quarantined.
 	quarantined metrics.Counter
+	// limitChanges counts how often a target began or ended to name a limit.
+	limitChanges metrics.Counter
 }
 
 // reservoirSize and decayAlpha are the parameters of go-metrics' exponentially
@@ -78,7 +80,8 @@
 		retried:   metrics.GetOrRegisterCounter(telemetry.Name("requests_retried_total"), r),
 		crashes:   metrics.GetOrRegisterCounter(telemetry.Name("target_crashes_total"), r),
 
-		quarantined: metrics.GetOrRegisterCounter(telemetry.Name("prompt_parts_quarantined_total"), r),
+		quarantined:  metrics.GetOrRegisterCounter(telemetry.Name("prompt_parts_quarantined_total"), r),
+		limitChanges: metrics.GetOrRegisterCounter(telemetry.Name("target_limit_changes_total"), r),
 	}
 }
 
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -50,6 +50,10 @@
 	TargetID string
 	// Cold is how long the target will remain cold, as stated by the target.
 	Cold time.Duration
+	// Limited is true if the target names the request rate that it takes from the whole
+	// fleet, MaxPerSecond.
+	Limited      bool
+	MaxPerSecond float64
 }
 
 // HeaderCodec translates between headers on the wire and the gateway's types.
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -149,6 +149,14 @@
 	return s.dispatcher.CrashReport(time.Now())
 }
 
+// observeLimit records the request rate that a target names in a response to a request
+// that was sent at a time. It reports whether the target began or ended to name one.
+func (s *scheduler) observeLimit(target string, head ResponseHead, sentAt time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.ObserveLimit(target, head.MaxPerSecond, head.Limited, sentAt, time.Now())
+}
+
 // mayHaveCrashed reports whether a target that ended a connection may have crashed.
 func (s *scheduler) mayHaveCrashed(target string) bool {
 	s.mu.Lock()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -92,6 +92,7 @@
 	if err := conn.SetDeadline(x.deadline.Add(deadlineSlack)); err != nil {
 		return dispatch.Unreachable, transferError(x, err, "set a deadline")
 	}
+	sentAt := time.Now()
 	ranBefore := x.mayHaveRun
 	x.mayHaveRun = true
 	bodySent, err := conn.Send(&upstream.Request{
@@ -104,6 +105,7 @@
 	if err != nil {
 		return dispatch.Unreachable, transferError(x, err, "read the answer")
 	}
+	g.observeLimit(d, head, sentAt)
 	defer func() { _ = resp.Body.Close() }() // the connection is pooled or discarded separately
 	if head.NotRun {
 		x.mayHaveRun = ranBefore
@@ -117,6 +119,15 @@
 	return g.relayResponse(x, d, conn, resp, head, bodySent)
 }
 
+// observeLimit records the request rate that a target names, or that it names none.
+func (g *Gateway) observeLimit(d dispatch.Decision, head ResponseHead, sentAt time.Time) {
+	if !g.scheduler.observeLimit(d.Target, head, sentAt) {
+		return
+	}
+	g.requestMetrics.limitChanges.Inc(1)
+	g.log.Info("target limit changed", "target", d.Target, "limited", head.Limited, "max_per_second", head.MaxPerSecond)
+}
+
 // canRetryElsewhere reports whether a request that failed at its target can be
 // retried at another.
 func (g *Gateway) canRetryElsewhere(x *call, _ *http.Response) bool {
