--- a/internal/lab/engine.go
+++ b/internal/lab/engine.go
@@ -59,6 +59,8 @@
 	kept    *keeper
 	// stepping says that a step is under way.
 	stepping bool
+	// namedAt is when the engine first named a limit in a response.
+	namedAt time.Duration
 	// down says that the engine has crashed.
 	down bool
 	// known holds the shared parts that any engine has read.
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -36,8 +36,30 @@
 	Gateway int     `yaml:"gateway"`
 }
 
+// EngineLimit is a time in which some engines name in their responses how many requests
+// a second they take from all gateways together.
+type EngineLimit struct {
+	From float64 `yaml:"from"`
+	To   float64 `yaml:"to"`
+	// Share is the share of the engines that do.
+	Share     float64 `yaml:"share"`
+	PerSecond float64 `yaml:"per_second"`
+}
+
+// LimitedArrival is a request that reached an engine which named a limit.
+type LimitedArrival struct {
+	Engine    string
+	PerSecond float64
+	At        time.Duration
+	// SinceNamed is the time since the engine first named the limit, and Told the time
+	// since the request's gateway had the first response with it; negative if it had
+	// none.
+	SinceNamed, Told time.Duration
+}
+
 // Faults are the faults of a day.
 type Faults struct {
+	EngineLimits    []EngineLimit    `yaml:"engine_limits"`
 	CrashingParts   []CrashingPart   `yaml:"crashing_parts"`
 	EngineCrashes   []EngineCrash    `yaml:"engine_crashes"`
 	GatewayRestarts []GatewayRestart `yaml:"gateway_restarts"`
@@ -143,6 +165,45 @@
 	}
 }
 
+// limitOf returns the request rate that an engine names now; it reports false if it
+// names none.
+func (w *world) limitOf(e *engine) (perSecond float64, named bool) {
+	for _, l := range w.day.Faults.EngineLimits {
+		limited := int(l.Share * float64(w.day.Engines))
+		if w.now >= ms(l.From*1000) && w.now < ms(l.To*1000) && slices.Contains(w.limitOrder[:limited], e.id) {
+			return l.PerSecond, true
+		}
+	}
+	return 0, false
+}
+
+// tellLimit passes the limit in a response on to the gateway that gets it.
+func (w *world) tellLimit(x *call) {
+	perSecond, named := w.limitOf(x.engine)
+	if named && x.engine.namedAt == 0 {
+		x.engine.namedAt = w.now
+	}
+	w.after(w.hop(), func() {
+		if named && x.gateway.told[x.engine.id] == 0 {
+			x.gateway.told[x.engine.id] = w.now
+		}
+		x.policy.ObserveLimit(x.engine.id, perSecond, named, start.Add(x.sent), w.time())
+	})
+}
+
+// recordLimited records a request that reaches an engine with a limit.
+func (w *world) recordLimited(x *call) {
+	perSecond, named := w.limitOf(x.engine)
+	if !named || x.engine.namedAt == 0 {
+		return
+	}
+	a := LimitedArrival{Engine: x.engine.id, PerSecond: perSecond, At: w.now, SinceNamed: w.now - x.engine.namedAt, Told: -1}
+	if told := x.gateway.told[x.engine.id]; told > 0 {
+		a.Told = w.now - told
+	}
+	w.limited = append(w.limited, a)
+}
+
 // crash ends an engine with all that it runs; another incarnation follows. It reports
 // false if the engine has crashed already.
 func (w *world) crash(e *engine) bool {
@@ -243,6 +304,6 @@
 			w.refuse(x, "gateway restarted", crashedRetry)
 		}
 	}
-	g.calls = make(map[uint64]*call)
+	g.calls, g.told = make(map[uint64]*call), make(map[string]time.Duration)
 	g.policy = w.strategy.New(g.name, w.day, w.view)
 }
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -74,6 +74,8 @@
 	newsLeft int
 	newsDue  bool
 	newsAt   time.Duration
+	// told holds when the gateway first had a response of an engine with a limit.
+	told map[string]time.Duration
 }
 
 // event is something that happens at a moment.
@@ -117,6 +119,10 @@
 	// crashCauses holds when engines crashed under a crashing part, and crashingSent
 	// when the requests with such a part were sent that reached an engine.
 	crashCauses, crashingSent []time.Duration
+	// limitOrder holds the engines in the order in which they name limits, and limited
+	// the requests that reached one which did.
+	limitOrder []string
+	limited    []LimitedArrival
 	// wronglyQuarantined counts the refusals of requests without a crashing part because
 	// of a quarantined one.
 	wronglyQuarantined int
@@ -152,11 +158,12 @@
 	for i := range d.Engines {
 		e := newEngine(engineID(i), d.Engine, known)
 		world.engines[e.id] = e
+		world.limitOrder = append(world.limitOrder, e.id)
 		world.played = append(world.played, e)
 	}
 	for i := range d.Gateways {
 		world.gateways = append(world.gateways, &gateway{
-			name: gatewayName(i), policy: w.New(gatewayName(i), d, view), calls: make(map[uint64]*call),
+			name: gatewayName(i), policy: w.New(gatewayName(i), d, view), calls: make(map[uint64]*call), told: make(map[string]time.Duration),
 		})
 	}
 	if d.Gateways > 1 {
@@ -326,6 +333,7 @@
 		w.after(w.hop(), func() { w.refused(x) })
 		return
 	}
+	w.recordLimited(x)
 	if x.caller.crashing {
 		w.crashingSent = append(w.crashingSent, x.sent)
 	}
@@ -370,6 +378,7 @@
 			x.policy.ResponseStarted(x.request.Sequence, w.time())
 			w.spreadNews(x.gateway)
 		})
+		w.tellLimit(x)
 		if c.crashing {
 			e := x.engine
 			w.after(ms(w.day.Faults.CrashDelayMS), func() {
--- a/internal/lab/policy.go
+++ b/internal/lab/policy.go
@@ -25,6 +25,7 @@
 	End(sequence uint64, o dispatch.Outcome, now time.Time)
 	Report(slow bool, now time.Time) dispatch.Report
 	Merge(name string, r dispatch.Report, now time.Time)
+	ObserveLimit(id string, perSecond float64, named bool, sentAt, now time.Time) bool
 	CrashReport(now time.Time) dispatch.Report
 	ReviewCrashes(now time.Time)
 	TakeNews() bool
@@ -224,6 +225,9 @@
 	return r
 }
 
+// ObserveLimit implements Policy; limits don't matter.
+func (d *direct) ObserveLimit(string, float64, bool, time.Time, time.Time) bool { return false }
+
 // CrashReport implements Policy.
 func (d *direct) CrashReport(time.Time) dispatch.Report { return dispatch.Report{} }
 
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -74,6 +74,9 @@
 	// when the requests with such a part were sent that reached an engine. These
 	// requests count nowhere else.
 	CrashCauses, CrashingSent []time.Duration
+	// Limited holds the requests that reached engines which named a limit, in order of
+	// time.
+	Limited []LimitedArrival
 	// WronglyQuarantined counts the refusals of requests without a crashing part because
 	// of a quarantined one.
 	WronglyQuarantined int
@@ -113,6 +116,7 @@
 	}
 	r.Busy, r.Batch = busy/(d.Seconds*1000*float64(d.Engines)), float64(batch)/math.Max(1, float64(steps))
 	r.CrashCauses, r.CrashingSent = w.crashCauses, w.crashingSent
+	r.Limited = w.limited
 	r.WronglyQuarantined = w.wronglyQuarantined
 	r.Bound = d.bound(callers) / r.All.Owed
 	return r
