dispatch: share the request rate that a target names

Cause: nobody read the limit. Gateways placed by load and cached parts, and the excess was the same before and after each had had an answer with the limit.

A named limit now bounds what the whole fleet sends. It is divided among owners by rendezvous hashing, as few as get one request a second each, since each may have one saved up; other gateways go elsewhere. Gateways that get no answer from the target hear of the limit by reports. What can't be sent goes to another target or is refused at once, with the time of the next request as Retry-After. A limit ends with an answer that names none, or six seconds after it was last named.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -110,6 +110,15 @@
 	return now.Sub(r.Arrived) > maxNoTargetWait || now.After(r.Deadline)
 }
 
+// waitForLimit decides on a request whose targets may get no request now by the limits
+// that they name. It is refused at once if none may in time.
+func (d *Dispatcher) waitForLimit(r *Request, wait time.Duration, now time.Time) (Decision, bool) {
+	if at := now.Add(wait); !at.After(r.Deadline) && (r.Resume || at.Sub(r.Arrived) <= d.maxWait(r)) {
+		return Decision{}, false
+	}
+	return Decision{Request: r, Action: RefuseLate, PredictedWait: wait, RetryAfter: min(max(minRetryAfter, wait), maxRetryAfter)}, true
+}
+
 // retryAfter returns the Retry-After of a request refused because of load.
 func (d *Dispatcher) retryAfter(c candidate) time.Duration {
 	return min(max(minRetryAfter, 2*c.wait), maxRetryAfter)
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -50,13 +50,19 @@
 )
 
 // choose returns the candidate of the lowest cost for a request, and the one of the
-// lowest cost with room now. It reports false if no target may serve the request.
-func (d *Dispatcher) choose(r *Request, now time.Time) (best, available candidate, found bool) {
-	best.cost, available.cost = math.Inf(1), math.Inf(1)
+// lowest cost with room now. It reports false if no target may serve the request now;
+// limitWait is then the time until one may by the limit that it names, or
+// math.MaxInt64.
+func (d *Dispatcher) choose(r *Request, now time.Time) (best, available candidate, limitWait time.Duration, found bool) {
+	best.cost, available.cost, limitWait = math.Inf(1), math.Inf(1), math.MaxInt64
 	for _, t := range d.services[r.Service] {
 		if d.updateEstimate(t, now); !t.estimate.usable || r.Exclude[t.ID] || !r.Versions.allows(t.Version) {
 			continue
 		}
+		if t.estimate.limitWait > 0 {
+			limitWait = min(limitWait, t.estimate.limitWait)
+			continue
+		}
 		c := d.candidate(r, t)
 		if !found || c.cost < best.cost {
 			best, found = c, true
@@ -65,7 +71,7 @@
 			available = c
 		}
 	}
-	return best, available, found
+	return best, available, limitWait, found
 }
 
 // targetEstimate is the part of the predictions for a target that is the same
@@ -76,6 +82,9 @@
 	// usable reports whether the target may get requests, whatever its load, and
 	// hasSlot whether it has a free slot.
 	usable, hasSlot bool
+	// limitWait is the time until the target may get a request by the limit that it
+	// names.
+	limitWait time.Duration
 	// tokensPerMS is the engine's prefill rate, and waitMS the time to prefill the
 	// present backlog.
 	tokensPerMS, waitMS float64
@@ -98,6 +107,7 @@
 		usable: !t.Leaving && !d.view.ZonesOut[t.Zone] && !t.health.isDown(now) && (!t.Cold(now) || d.canSendCold(t, now)),
 		cost:   failingCostMS*t.health.failureRatio() + fullLoadCostMS*float64(running)/float64(t.Slots),
 	}
+	p.limitWait = d.limitWait(t, now)
 	p.waitMS = t.backlog(now) / p.tokensPerMS
 	if running > 0 {
 		p.freeMemory = float64(d.engineMemory(t.Service))*maxMemoryFraction - t.ownLoad.Memory - t.peerLoad.Memory
@@ -268,9 +278,9 @@
 	return owners, max(0, rate)
 }
 
-// isColdOwner reports whether this router is an owner of a cold target: one of the
-// first members in the order of rendezvous hashing.
-func (d *Dispatcher) isColdOwner(t *target, owners int) bool {
+// isOwner reports whether this router is one of the owners of a target that has a rate:
+// the first members in the order of rendezvous hashing.
+func (d *Dispatcher) isOwner(t *target, owners int) bool {
 	ownScore := mix(t.idHash ^ hashName(d.config.Self))
 	ahead := 0
 	for name := range d.view.Members {
@@ -283,7 +293,7 @@
 
 func (d *Dispatcher) canSendCold(t *target, now time.Time) bool {
 	owners, rate := d.coldRateLimit(t.Service)
-	return math.IsInf(rate, 1) || d.isColdOwner(t, owners) && t.coldLimit.peek(rate, 1, now)
+	return math.IsInf(rate, 1) || d.isOwner(t, owners) && t.coldLimit.peek(rate, 1, now)
 }
 
 func (d *Dispatcher) consumeColdToken(t *target, now time.Time) {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -221,7 +222,10 @@
 		d.usage.addRequested(d.usage.byHash(r.accountHash), -r.Size(), now)
 		return Decision{Request: r, Action: RefuseQuarantined, Part: part}, true
 	}
-	best, available, found := d.choose(r, now)
+	best, available, limitWait, found := d.choose(r, now)
+	if !found && limitWait < math.MaxInt64 {
+		return d.waitForLimit(r, limitWait, now)
+	}
 	if !found {
 		if d.noTargetWaitExpired(r, now) {
 			return Decision{Request: r, Action: RefuseNoTarget, RetryAfter: noTargetRetryAfter}, true
@@ -252,6 +256,7 @@
 	if t.Cold(now) {
 		d.consumeColdToken(t, now)
 	}
+	d.consumeLimit(t, now)
 	t.ownLoad = t.ownLoad.plus(load)
 	t.estimate.round = 0
 	d.inFlight[r.Sequence] = &placement{request: r, target: t, load: load, sentAt: now}
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -35,6 +35,8 @@
 	// nil in a report on crashes alone.
 	Loads    map[uint32]Load
 	Accounts []AccountReport
+	// Limits holds the request rates that targets name, by the target's short ID.
+	Limits map[uint32]float64
 	// Crashes is the evidence on prompt parts that crash targets.
 	Crashes []quarantine.Evidence
 }
@@ -58,7 +60,7 @@
 	if !withAccounts {
 		return r
 	}
-	r.Crashes = d.quarantine.Report(now)
+	r.Limits, r.Crashes = d.limitReport(now), d.quarantine.Report(now)
 	for hash, a := range d.usage.accounts {
 		requested, received := a.requested.valueAt(now, d.usage.timeConstant), a.received.valueAt(now, d.usage.timeConstant)
 		if requested >= minReportedTokens || received >= minReportedTokens {
@@ -87,6 +89,7 @@
 		}
 	}
 	d.sumPeerLoads()
+	d.mergeLimits(r.Limits, now)
 	if r.HasAccounts {
 		d.usage.merge(name, r.Accounts, now)
 	}
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -126,29 +126,33 @@
 // engine step that is in progress, and the step that generates the token.
 const firstTokenOverhead = 20 * time.Millisecond
 
-// tokenBucket limits the rate of requests to a cold target.
+// tokenBucket limits the rate of requests to a target.
 type tokenBucket struct {
 	level float64
 	at    time.Time
 }
 
 // take takes one token out of a bucket that is refilled at a rate per second up to
-// depth. It reports false if there is none.
-func (b *tokenBucket) take(rate, depth float64, now time.Time) bool {
+// depth, if there is one.
+func (b *tokenBucket) take(rate, depth float64, now time.Time) {
 	if b.at.IsZero() {
 		b.level = depth
 	} else {
 		b.level = math.Min(depth, b.level+rate*now.Sub(b.at).Seconds())
 	}
 	b.at = now
-	if b.level < 1 {
-		return false
+	if b.level >= 1 {
+		b.level--
 	}
-	b.level--
-	return true
 }
 
-// peek reports whether take would succeed.
+// untilNext returns the time until there is a token to take, for a rate above 0.
+func (b *tokenBucket) untilNext(rate float64, now time.Time) time.Duration {
+	missing := 1 - b.level - rate*now.Sub(b.at).Seconds()
+	return max(0, time.Duration(missing/rate*float64(time.Second)))
+}
+
+// peek reports whether there is a token to take.
 func (b *tokenBucket) peek(rate, depth float64, now time.Time) bool {
 	if b.at.IsZero() {
 		return depth >= 1
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -34,6 +34,11 @@
 	}
 	r.Moves = g.moveTracker.evidence()
 	r.Crashes = encodeCrashes(own.Crashes)
+	r.Limits = &zinniaquayv1.TargetLimits{}
+	for key, perSecond := range own.Limits {
+		r.Limits.Target = append(r.Limits.Target, key)
+		r.Limits.PerSecond = append(r.Limits.PerSecond, float32(perSecond))
+	}
 	r.Accounts = &zinniaquayv1.AccountUsages{}
 	for _, a := range own.Accounts {
 		r.Accounts.Account = append(r.Accounts.Account, a.Account)
@@ -100,6 +105,12 @@
 			Memory:  float64(loads.GetMemory()[i]) * memoryTokensPerUnit,
 		}
 	}
+	limits := r.GetLimits()
+	n = min(len(limits.GetTarget()), len(limits.GetPerSecond()))
+	report.Limits = make(map[uint32]float64, n)
+	for i := range n {
+		report.Limits[limits.GetTarget()[i]] = float64(limits.GetPerSecond()[i])
+	}
 	accounts := r.GetAccounts()
 	n = min(len(accounts.GetAccount()), len(accounts.GetAsked()), len(accounts.GetGot()))
 	for i := range n {
