soak: prompts that crash targets, and targets that name a limit

Callers send prompts with a part that crashes targets, in spells, and targets name limits for some seconds. The judge checks that the part stops reaching targets, that no other request is refused for it, and that no target gets more than it named.

--- a/test/soakcallers_test.go
+++ b/test/soakcallers_test.go
@@ -20,6 +20,8 @@
 	gateway       *soakGateway
 	incarnation   int
 	sent, done    time.Time
+	// crashing says that the prompt holds the part that crashes targets.
+	crashing bool
 	// cancelled is when the caller left; zero if it stayed.
 	cancelled time.Time
 	status    int
@@ -129,9 +131,15 @@
 // one makes one request with any key. A caller that leaves does so soon.
 func (c *soakCallers) one(g *soakGateway, client *http.Client, path string, leaves bool) *attempt {
 	n := c.lastID.Add(1)
-	return c.make(g, client, &attempt{id: fmt.Sprintf("%016x", n), path: path, key: c.key(n)}, leaves)
+	a := &attempt{id: fmt.Sprintf("%016x", n), path: path, key: c.key(n)}
+	a.crashing = a.stream() && n%crashingEvery == 0 && c.fleet.crashing.Load()
+	return c.make(g, client, a, leaves)
 }
 
+// crashingEvery is the number of requests among which one may hold the part that crashes
+// targets.
+const crashingEvery = 5
+
 // oneNow makes one request with a key that is in force.
 func (c *soakCallers) oneNow(g *soakGateway, client *http.Client, path string) *attempt {
 	c.fleet.mu.Lock()
@@ -171,7 +179,11 @@
 	if a.stream() {
 		req.Header.Set("Model", "m")
 		req.Header.Set("Token-Usage", "1000,50")
-		req.Header.Set("Prompt-Prefix", fmt.Sprintf("%s:500,f%s:500", a.id[15:], a.id))
+		part := ""
+		if a.crashing {
+			part = soakCrashingPart + ":100,"
+		}
+		req.Header.Set("Prompt-Prefix", fmt.Sprintf("%s:500,%sf%s:500", a.id[15:], part, a.id))
 	}
 	a.sent = time.Now()
 	resp, err := client.Do(req)
--- a/test/soakfleet_test.go
+++ b/test/soakfleet_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zinniaquay/zinniaquay/platform"
@@ -27,6 +28,18 @@
 	soakRetryWindow = 10 * time.Second
 	soakColdFactor  = 1.5
 	soakColdSlack   = 5
+	// soakCrashingPart crashes targets. After soakCrashes crashes and soakContact,
+	// soakCrashSlack requests with it may reach targets.
+	soakCrashingPart = "bad"
+	soakCrashes      = 5
+	soakCrashSlack   = 3
+	// From soakContact after it was first named, a limit holds in any soakLimitSpan,
+	// times soakLimitFactor and with soakLimitSlack requests more, for gateways that were
+	// told soakLimitTold before.
+	soakLimitSpan   = 4 * time.Second
+	soakLimitFactor = 1.5
+	soakLimitSlack  = 5
+	soakLimitTold   = 500 * time.Millisecond
 )
 
 // soakGateway is a gateway's process with the relays to it and to the store.
@@ -62,6 +75,8 @@
 	dir, binary string
 	*standin.Deployment
 	gateways []*soakGateway
+	// crashing says that callers send prompts with soakCrashingPart.
+	crashing atomic.Bool
 	// all holds every target that ever was; only the thread of faults adds to it.
 	all []*soakTarget
 	log *troubles
@@ -73,6 +88,8 @@
 	revoked map[string]time.Time
 	// marks are the routes that say which configuration is in force.
 	marks []mark
+	// limits holds the limits that targets named.
+	limits []soakLimit
 	// evacuated holds zones that get nothing, with when the store had accepted it.
 	evacuated []evacuation
 	// faults of the soak itself.
@@ -85,6 +102,13 @@
 	from, before time.Time
 }
 
+// soakLimit is a time in which a target names the request rate that it takes.
+type soakLimit struct {
+	target    *soakTarget
+	perSecond float64
+	from, to  time.Time
+}
+
 type evacuation struct {
 	zone     string
 	from, to time.Time
@@ -138,6 +162,11 @@
 	}
 	t.Events, t.Gap = 8, 20*time.Millisecond
 	s := &soakTarget{Target: t, relay: r}
+	t.SetFaults(standin.TargetFaults{CrashingPart: soakCrashingPart})
+	t.OnCrash = func() {
+		f.log.begin("crashed", t.ID, false) // without an end: the target never comes back
+		r.close()
+	}
 	f.all = append(f.all, s)
 	f.register(s, "ready")
 	return nil
--- a/test/soakjudge_test.go
+++ b/test/soakjudge_test.go
@@ -40,6 +40,8 @@
 	j.retries(standin.ModelService)
 	j.retries(standin.PlainService)
 	j.cold()
+	j.crashingPart()
+	j.limits()
 	for _, err := range f.own {
 		j.faults = append(j.faults, "OWN END: "+err.Error())
 	}
@@ -297,6 +299,70 @@
 	return n
 }
 
+// crashingPart checks that prompts which crash targets stop reaching them, and that no
+// other is refused for it.
+func (j *judge) crashingPart() {
+	type reached struct {
+		a  *attempt
+		at time.Time
+	}
+	var crashes []time.Time
+	var all []reached
+	for _, a := range j.attempts {
+		if !a.crashing && a.status == http.StatusBadRequest {
+			j.broken("DENIED", a, "its prompt crashes nothing")
+		}
+		for _, s := range j.arrivals[a.id] {
+			if a.crashing {
+				all = append(all, reached{a, s.At})
+				if s.Ran && s.target.Crashed() && s.Ended.Sub(s.At) < time.Second {
+					crashes = append(crashes, s.Ended)
+				}
+			}
+		}
+	}
+	if len(crashes) < soakCrashes {
+		return
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	known, late := crashes[soakCrashes-1].Add(soakContact), 0
+	for _, r := range all {
+		if r.at.After(known) && j.fleet.log.calm(r.at.Add(-soakContact), r.at, true, r.a.gateway.name) {
+			if late++; late > soakCrashSlack {
+				j.broken("BUDGET", r.a, "it is the %d. with the part that crashes targets, %d of which crashed", late, len(crashes))
+			}
+		}
+	}
+}
+
+// limits checks that targets get no more than the rates that they name.
+func (j *judge) limits() {
+	gateways := make(map[string]string)
+	for _, a := range j.attempts {
+		gateways[a.id] = a.gateway.name
+	}
+	for _, l := range j.fleet.limits {
+		told := make(map[string]time.Time)
+		var moments []time.Time
+		for _, s := range l.target.Received() {
+			gateway := gateways[s.Header.Get("Attempt-Id")]
+			if since, ok := told[gateway]; ok && s.At.Sub(since) >= soakLimitTold && s.At.Sub(l.from) >= soakContact && s.At.Before(l.to) &&
+				j.fleet.log.calm(l.from, s.At, true, gateway, l.target.ID) {
+				moments = append(moments, s.At)
+			}
+			if _, ok := told[gateway]; !ok && s.Ran && s.At.After(l.from) && !s.Ended.IsZero() {
+				told[gateway] = s.Ended
+			}
+		}
+		for _, at := range moments {
+			if n := within(moments, at, at.Add(soakLimitSpan)); float64(n) > soakLimitFactor*l.perSecond*soakLimitSpan.Seconds()+soakLimitSlack {
+				j.faults = append(j.faults, fmt.Sprintf("LIMIT: %d requests in %s to %s, which named %g a second", n, soakLimitSpan, l.target.ID, l.perSecond))
+				break
+			}
+		}
+	}
+}
+
 // coldPerSecond is what the stand-in's configuration says of cold targets of the
 // model.
 const coldPerSecond = 13
--- a/test/soaktroubles_test.go
+++ b/test/soaktroubles_test.go
@@ -101,13 +101,14 @@
 	}{
 		{4, m.freezeGateway}, {4, m.killGateway}, {6, m.stopGateway}, {2, m.hangUp}, {3, m.cutCallers}, {5, m.storeLink},
 		{6, m.store}, {2, m.compact}, {3, m.lapse}, {6, m.targetLink}, {14, m.targetFaults}, {3, m.crashTarget}, {4, m.drainTarget},
-		{5, m.fleet.configure}, {2, m.storm}, {8, m.fleet.replaceKey}, {2, m.evacuate},
+		{5, m.fleet.configure}, {2, m.storm}, {8, m.fleet.replaceKey}, {2, m.evacuate}, {3, m.crashingPart}, {2, m.limitTarget},
 	}
 	total := 0
 	for _, k := range kinds {
 		total += k.weight
 	}
 	for ctx.Err() == nil {
+		m.replaceCrashed()
 		n := m.rng.IntN(total)
 		for _, k := range kinds {
 			if n -= k.weight; n < 0 {
@@ -265,10 +266,13 @@
 func (m *troublemaker) target() *soakTarget {
 	var free []*soakTarget
 	for _, t := range m.fleet.all {
-		if !t.gone && t.drained.IsZero() {
+		if !t.gone && t.drained.IsZero() && !t.Crashed() {
 			free = append(free, t)
 		}
 	}
+	if len(free) == 0 {
+		return nil
+	}
 	t := free[m.rng.IntN(len(free))]
 	if !m.take(t.ID) {
 		return nil
@@ -322,16 +326,60 @@
 	}
 	f, d := faults[m.rng.IntN(len(faults))], m.between(500, 4000)
 	f.Fraction = []float64{0, 0.1, 0.4}[m.rng.IntN(3)]
+	f.CrashingPart = soakCrashingPart
 	record := m.fleet.log.begin(fmt.Sprintf("target %+v", f), t.ID, false)
 	m.group.Go(func() {
 		t.SetFaults(f)
 		time.Sleep(d)
-		t.SetFaults(standin.TargetFaults{})
+		t.SetFaults(standin.TargetFaults{CrashingPart: soakCrashingPart})
 		m.fleet.log.end(record)
 		m.give(t.ID)
 	})
 }
 
+// crashingPart has callers send prompts that crash targets.
+func (m *troublemaker) crashingPart() {
+	d := m.between(3000, 9000)
+	if !m.take(soakCrashingPart) {
+		return
+	}
+	m.group.Go(func() {
+		m.fleet.crashing.Store(true)
+		time.Sleep(d)
+		m.fleet.crashing.Store(false)
+		m.give(soakCrashingPart)
+	})
+}
+
+// replaceCrashed starts targets in the place of those that a prompt has crashed.
+func (m *troublemaker) replaceCrashed() {
+	for _, t := range m.fleet.all {
+		if !t.gone && t.drained.IsZero() && t.Crashed() {
+			m.lose(t)
+		}
+	}
+}
+
+// limitTarget has a target name a request rate for a while.
+func (m *troublemaker) limitTarget() {
+	t := m.target()
+	if t == nil {
+		return
+	}
+	perSecond, d := float64(1+m.rng.IntN(8)), m.between(5000, 9000)
+	m.group.Go(func() {
+		limit := soakLimit{target: t, perSecond: perSecond, from: time.Now()}
+		t.SetFaults(standin.TargetFaults{CrashingPart: soakCrashingPart, MaxPerSecond: perSecond})
+		time.Sleep(d)
+		t.SetFaults(standin.TargetFaults{CrashingPart: soakCrashingPart})
+		limit.to = time.Now()
+		m.fleet.mu.Lock()
+		m.fleet.limits = append(m.fleet.limits, limit)
+		m.fleet.mu.Unlock()
+		m.give(t.ID)
+	})
+}
+
 // newTarget starts a target in the place of one that leaves.
 func (m *troublemaker) newTarget(old *soakTarget, cold time.Duration) {
 	m.born++
@@ -350,10 +398,13 @@
 	if t == nil {
 		return
 	}
-	// The record has no end: the target never comes back.
-	m.fleet.log.begin("crashed", t.ID, false)
-	t.gone = true
 	t.Crash()
+	m.lose(t)
+}
+
+// lose replaces a target that has crashed.
+func (m *troublemaker) lose(t *soakTarget) {
+	t.gone = true
 	m.newTarget(t, 3*time.Second)
 	lapse := m.between(500, 3000)
 	m.group.Go(func() {
