gateway: a response that failed does not show that a target survives a part

A 500 counted as a response that had begun, so the part counted as survived, and a sound part beside it that nobody had survived yet went into quarantine in its place.

Only a successful response now counts as begun.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -196,7 +196,9 @@
 	if isStream {
 		err = g.relayStream(x, d, conn, resp)
 	} else {
-		g.scheduler.responseStarted(d.Request.Sequence)
+		if resp.StatusCode < http.StatusMultipleChoices {
+			g.scheduler.responseStarted(d.Request.Sequence)
+		}
 		err = g.relayBuffered(x, d, resp)
 	}
 	if err != nil {
--- a/test/soakcheck_test.go
+++ b/test/soakcheck_test.go
@@ -103,3 +103,36 @@
 	is.Equal(len(j.faults), 1)
 	is.True(strings.HasPrefix(j.faults[0], "BACK:"))
 }
+
+// The judge counts what follows crashes under one part, and what limited targets get.
+func TestTheSoaksJudgeOfCrashesAndLimits(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(2000, 0)
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	g := &soakGateway{name: "edge-0"}
+	f := &soakFleet{log: &troubles{}}
+	j := &judge{fleet: f, arrivals: make(map[string][]arrival)}
+	crashed, err := standin.StartTarget("crashed", standin.ModelService, "a")
+	is.NoErr(err)
+	crashed.Crash()
+	for i := range soakCrashes + soakCrashSlack + 1 {
+		a := &attempt{id: time.Duration(i).String(), path: "/stream/chat/x", gateway: g, crashing: true}
+		j.attempts = append(j.attempts, a)
+		sent := float64(i) / 10
+		if i >= soakCrashes {
+			sent += soakContact.Seconds() + 0.2
+		}
+		j.arrivals[a.id] = []arrival{{standin.ReceivedRequest{At: at(sent), Ended: at(sent + 0.1), Ran: true}, &soakTarget{Target: crashed}}}
+	}
+	j.crashingPart()
+	is.Equal(len(j.faults), 1) // one more than may follow
+	j.attempts, j.faults = []*attempt{{path: "/stream/chat/x", gateway: g, status: http.StatusBadRequest}}, nil
+	j.crashingPart()
+	is.Equal(len(j.faults), 1) // another request is refused
+	var moments []time.Time
+	for i := range 26 {
+		moments = append(moments, at(float64(i)/10))
+	}
+	is.True(!limitBroken(moments, 3.6)) // 26.6 allowed
+	is.True(limitBroken(moments, 3))    // 23 allowed
+}
--- a/test/soakjudge_test.go
+++ b/test/soakjudge_test.go
@@ -354,15 +354,20 @@
 				told[gateway] = s.Ended
 			}
 		}
-		for _, at := range moments {
-			if n := within(moments, at, at.Add(soakLimitSpan)); float64(n) > soakLimitFactor*l.perSecond*soakLimitSpan.Seconds()+soakLimitSlack {
-				j.faults = append(j.faults, fmt.Sprintf("LIMIT: %d requests in %s to %s, which named %g a second", n, soakLimitSpan, l.target.ID, l.perSecond))
-				break
-			}
+		if limitBroken(moments, l.perSecond) {
+			j.faults = append(j.faults, fmt.Sprintf("LIMIT: %s named %g a second and got %d requests since", l.target.ID, l.perSecond, len(moments)))
 		}
 	}
 }
 
+// limitBroken reports whether too many requests came in some soakLimitSpan.
+func limitBroken(moments []time.Time, perSecond float64) bool {
+	return slices.ContainsFunc(moments, func(at time.Time) bool {
+		n := within(moments, at, at.Add(soakLimitSpan))
+		return float64(n) > soakLimitFactor*perSecond*soakLimitSpan.Seconds()+soakLimitSlack
+	})
+}
+
 // coldPerSecond is what the stand-in's configuration says of cold targets of the
 // model.
 const coldPerSecond = 13
--- a/test/soaktroubles_test.go
+++ b/test/soaktroubles_test.go
@@ -101,7 +101,7 @@
 	}{
 		{4, m.freezeGateway}, {4, m.killGateway}, {6, m.stopGateway}, {2, m.hangUp}, {3, m.cutCallers}, {5, m.storeLink},
 		{6, m.store}, {2, m.compact}, {3, m.lapse}, {6, m.targetLink}, {14, m.targetFaults}, {3, m.crashTarget}, {4, m.drainTarget},
-		{5, m.fleet.configure}, {2, m.storm}, {8, m.fleet.replaceKey}, {2, m.evacuate}, {3, m.crashingPart}, {2, m.limitTarget},
+		{5, m.fleet.configure}, {2, m.storm}, {8, m.fleet.replaceKey}, {2, m.evacuate}, {6, m.crashingPart}, {4, m.limitTarget},
 	}
 	total := 0
 	for _, k := range kinds {
@@ -339,7 +339,7 @@
 
 // crashingPart has callers send prompts that crash targets.
 func (m *troublemaker) crashingPart() {
-	d := m.between(3000, 9000)
+	d := m.between(5000, 12_000)
 	if !m.take(soakCrashingPart) {
 		return
 	}
