quarantine: late reports of a crash are not other crashes

A crash is now known by the target's incarnation alone, with the earliest time that was heard. TestALateReportOfACrashIsNoOther counted 8 crashes instead of 2 before.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -146,7 +146,7 @@
 
 // add adds a crash or what is new about it. It reports whether anything was new.
 func (s *suspicion) add(c crash) bool {
-	i := slices.IndexFunc(s.crashes, func(o crash) bool { return o.target == c.target && o.at.Sub(c.at).Abs() < RestartTime })
+	i := slices.IndexFunc(s.crashes, func(o crash) bool { return o.target == c.target })
 	if i < 0 {
 		if len(s.crashes) >= maxCrashes {
 			if c.at.Sub(s.crashes[len(s.crashes)-1].at) < replaceGap {
@@ -161,6 +161,11 @@
 	known := &s.crashes[i]
 	newlyVoid := c.void && !known.void
 	known.void = known.void || c.void
+	if c.at.Before(known.at) {
+		// Reports may be late, so the earliest time is the best one.
+		known.at = c.at
+		slices.SortFunc(s.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
+	}
 	return newlyVoid
 }
 
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -184,6 +184,22 @@
 	is.Equal(n, len(fleet)) // released everywhere
 }
 
+// Guards against crashes that count twice because a report of them came late.
+func TestALateReportOfACrashIsNoOther(t *testing.T) {
+	is := is.New(t)
+	s, peer := newScenario(), New("edge-2")
+	s.crash(0, guilty)
+	s.crash(300, guilty)
+	report := s.Report(at(400))
+	for _, ms := range []int{400, 2400, 5400, 9400} { // a process that is suspended reads reports late
+		peer.Merge(report, at(ms))
+		s.Merge(peer.Report(at(ms)), at(ms))
+	}
+	is.Equal(peer.count(peer.suspicions[guilty]), 2)
+	is.True(!s.blocked(10_000, guilty))
+	is.Equal(peer.suspicions[guilty].crashes[0].at, at(0))
+}
+
 // Guards against callers that fill a router's memory with parts.
 func TestEvidenceIsBounded(t *testing.T) {
 	is := is.New(t)
