quarantine: a part on more crashes, or quarantined before, goes first

The part on more targets' crashes now goes first, and before that one that was quarantined already. TestThePartOnAllCrashesIsTheHarmfulOne and TestAQuarantinedPartStaysAgainstOneWithNoMoreCrashes failed before.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -267,7 +267,7 @@
 	}
 	clear(t.explained)
 	var accepted []*suspicion
-	for _, s := range t.byStrength() {
+	for _, s := range t.byStrength(before) {
 		quarantined := before[s.part]
 		s.quarantined, s.together = false, nil
 		if i := slices.IndexFunc(accepted, s.sameEvidence); i >= 0 {
@@ -293,8 +293,8 @@
 }
 
 // byStrength returns the suspicions with evidence enough for a verdict, the strongest
-// first, by all of their crashes.
-func (t *Tracker) byStrength() []*suspicion {
+// first, by all of their crashes. Of equals those that were quarantined before go first.
+func (t *Tracker) byStrength(before map[uint64]bool) []*suspicion {
 	clear(t.explained)
 	var ranked []*suspicion
 	for _, s := range t.suspicions {
@@ -305,7 +305,8 @@
 		}
 	}
 	slices.SortFunc(ranked, func(a, b *suspicion) int {
-		return cmp.Or(compareBool(a.proven, b.proven), -cmp.Compare(t.count(a), t.count(b)), cmp.Compare(a.part, b.part))
+		return cmp.Or(compareBool(a.proven, b.proven), -cmp.Compare(t.count(a), t.count(b)),
+			-compareBool(before[a.part], before[b.part]), -cmp.Compare(a.crashedTargets(), b.crashedTargets()), cmp.Compare(a.part, b.part))
 	})
 	return ranked
 }
@@ -314,6 +315,18 @@
 // refused.
 type group struct{ parts []uint64 }
 
+// crashedTargets returns the number of targets whose crashes speak against the part,
+// also of those that count as one.
+func (s *suspicion) crashedTargets() int {
+	n := 0
+	for _, c := range s.crashes {
+		if !c.void {
+			n++
+		}
+	}
+	return n
+}
+
 // sameEvidence reports whether the same crashes speak against two parts.
 func (s *suspicion) sameEvidence(o *suspicion) bool {
 	return s.proven == o.proven && s.holdsAll(o) && o.holdsAll(s)
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -131,6 +131,32 @@
 	is.True(!s.blocked(6000, sound))
 }
 
+// Guards against a sound part that is taken for the harmful one since both were on as many crashes, if those at one moment count once.
+func TestThePartOnAllCrashesIsTheHarmfulOne(t *testing.T) {
+	is := is.New(t)
+	s := newScenario()
+	const other = uint64(1) // lower than the harmful one
+	s.crash(0, guilty)
+	s.crash(30, guilty, other)
+	s.crash(300, guilty, other)
+	s.crash(600, guilty, other)
+	is.True(s.blocked(1000, guilty))
+	is.True(!s.blocked(1000, other))
+}
+
+// Guards against a harmful part that is released since a sound one was on as many crashes, one of them for another reason.
+func TestAQuarantinedPartStaysAgainstOneWithNoMoreCrashes(t *testing.T) {
+	is := is.New(t)
+	s := newScenario()
+	const other = uint64(1) // lower than the harmful one
+	s.crash(0, guilty, other)
+	s.crash(300, guilty, other)
+	s.crash(600, guilty)
+	s.crash(900, other)
+	is.True(s.blocked(1000, guilty))
+	is.True(!s.blocked(1000, other))
+}
+
 func TestAQuarantinedPartIsTriedByOneRouterAtATime(t *testing.T) {
 	is := is.New(t)
 	var members []string
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -103,7 +103,7 @@
 
 // Refuses reports whether nothing listens at an address, which is certain only if
 // its host refuses a connection. A connection that is established is kept for a later
-// request.
+// request if there is no other.
 func (p *Pool) Refuses(ctx context.Context, addr string) bool {
 	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
 	defer cancel()
@@ -111,10 +111,20 @@
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
+	if p.hasIdle(addr) {
+		c.Discard()
+		return false
+	}
 	p.Put(c, "")
 	return false
 }
 
+func (p *Pool) hasIdle(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[addr]) > 0
+}
+
 func (p *Pool) dial(ctx context.Context, addr string) (*Conn, error) {
 	conn, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -168,3 +168,19 @@
 	c.Discard()
 	is.True(<-finished != nil)
 }
+
+func TestARefusedConnectionIsToldFromOneThatIsAccepted(t *testing.T) {
+	is := is.New(t)
+	pool := NewPool(metrics.NewRegistry())
+	addr := listen(t, respondWith("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	is.True(!pool.Refuses(t.Context(), addr))
+	is.True(!pool.Refuses(t.Context(), addr))
+	is.Equal(len(pool.idle[addr]), 1) // kept once, for the next request
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(l.Close())
+	is.True(pool.Refuses(t.Context(), l.Addr().String()))
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	is.True(!pool.Refuses(ended, l.Addr().String())) // nothing is known
+}
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -87,6 +87,7 @@
 
 	recovered := time.Now()
 	for time.Since(recovered) < recoverWithin && !servesAll(callers) {
+		m.replaceCrashed() // the last requests of a spell may crash targets after it
 		time.Sleep(100 * time.Millisecond)
 	}
 	if time.Since(recovered) >= recoverWithin {
