exchange, quarantine: reports on crashes are short, and don't delay the others

Cause: each periodic report carried evidence on up to 14 prompt parts for ten minutes after any crash, and made up for news by pauses of up to a second. With 30 peers the reports of usage then came later than the three seconds after which a silent peer counts no more.

Periodic reports now carry the parts that are quarantined or may soon be, four at most, and pauses grow by a twentieth at most.

--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -70,9 +70,9 @@
 	return r
 }
 
-// CrashReport returns a report on crashes alone.
+// CrashReport returns a report on crashes alone, with what peers must know at once.
 func (d *Dispatcher) CrashReport(now time.Time) Report {
-	return Report{Crashes: d.quarantine.Report(now)}
+	return Report{Crashes: d.quarantine.NewsReport(now)}
 }
 
 // Merge replaces the latest loads and usage of a peer by those of a report, and adds
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -58,7 +58,8 @@
 	Report(slow bool) *zinniaquayv1.GatewayReport
 	// News receives a value when there is news that can't wait for the next reports.
 	News() <-chan struct{}
-	// NewsReport returns a short report with such news.
+	// NewsReport returns a short report with such news, or nil if there is none after
+	// all.
 	NewsReport() *zinniaquayv1.GatewayReport
 	// Merge applies a peer's report, which is newer than the earlier ones.
 	Merge(r *zinniaquayv1.GatewayReport)
--- a/internal/exchange/news.go
+++ b/internal/exchange/news.go
@@ -16,8 +16,10 @@
 	NewsRounds   = 2
 	NewsInterval = 50 * time.Millisecond
 	// newsBurstBytes is the bandwidth that news may use ahead of the bandwidth limit;
-	// reports make up for it.
-	newsBurstBytes = 4 << 10
+	// reports make up for it by pauses that are longer by a part of newsPauseDivisor, so
+	// that they never come much later.
+	newsBurstBytes   = 2 << 10
+	newsPauseDivisor = 20
 )
 
 // newsRounds plans the rounds of news of one process.
@@ -35,10 +37,9 @@
 // wait returns the time until the next round.
 func (n *newsRounds) wait(now time.Time) time.Duration { return max(0, NewsInterval-now.Sub(n.last)) }
 
-// delay returns the pause after a round of reports that makes up for news, at most
-// maxRoundInterval.
+// delay returns the pause after a round of reports that makes up for news.
 func (n *newsRounds) delay(pause time.Duration) time.Duration {
-	extra := min(time.Duration(n.debtBytes)*time.Second/budgetBytesPerSecond, maxRoundInterval-pause)
+	extra := min(time.Duration(n.debtBytes)*time.Second/budgetBytesPerSecond, pause/newsPauseDivisor)
 	n.debtBytes -= int(extra * budgetBytesPerSecond / time.Second)
 	return pause + extra
 }
@@ -49,7 +50,12 @@
 		return false
 	}
 	e.news.last = now
-	data, cost, err := e.encode(e.source.NewsReport())
+	report := e.source.NewsReport()
+	if report == nil {
+		e.news.left = 0
+		return false
+	}
+	data, cost, err := e.encode(report)
 	if err != nil {
 		e.log.Error(err, "encode news failed")
 		return false
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -53,7 +53,11 @@
 
 // NewsReport implements exchange.Source.
 func (g *Gateway) NewsReport() *zinniaquayv1.GatewayReport {
-	return &zinniaquayv1.GatewayReport{Crashes: encodeCrashes(g.scheduler.crashReport().Crashes)}
+	crashes := g.scheduler.crashReport().Crashes
+	if len(crashes) == 0 {
+		return nil
+	}
+	return &zinniaquayv1.GatewayReport{Crashes: encodeCrashes(crashes)}
 }
 
 // encodeCrashes converts evidence on crashes.
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -34,20 +34,29 @@
 }
 
 // Limits of a report: the parts with the strongest evidence, and those whose evidence
-// changed last.
+// changed last; and the parts in a periodic report.
 const (
+	maxPeriodicParts  = 4
 	maxStrongestParts = 6
 	maxChangedParts   = 8
 )
 
-// Report returns the strongest and the newest evidence, for peers.
+// Report returns the evidence on parts that are quarantined or may soon be, for the
+// periodic reports to peers. Longer reports would make these come too late.
 func (t *Tracker) Report(now time.Time) []Evidence {
-	if len(t.suspicions) == 0 {
-		return nil
-	}
+	report := t.report(now, func(s *suspicion) bool { return s.quarantined || t.count(s) >= crashThreshold-1 })
+	return report[:min(len(report), maxPeriodicParts)]
+}
+
+// NewsReport returns the strongest and the newest evidence, for peers at once.
+func (t *Tracker) NewsReport(now time.Time) []Evidence {
+	return t.report(now, func(s *suspicion) bool { return len(s.crashes) > 0 })
+}
+
+func (t *Tracker) report(now time.Time, include func(s *suspicion) bool) []Evidence {
 	ranked := make([]*suspicion, 0, len(t.suspicions))
 	for _, s := range t.suspicions {
-		if len(s.crashes) > 0 {
+		if include(s) {
 			ranked = append(ranked, s)
 		}
 	}
