--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -9,7 +9,7 @@
 )
 
 // peerTimeout is the time without a report after which a peer's load no longer counts.
-const peerTimeout = 3 * time.Second
+const peerTimeout = 5 * time.Second
 
 // peer is the latest report of another router.
 type peer struct {
@@ -24,14 +24,17 @@
 	// Requested and Received are in tokens. They decay exponentially, with half
 	// the share window as the time constant.
 	Requested, Received float64
+	// Routers is the number of routers whose usage is included.
+	Routers int
 }
 
 // Report is what a router sends to its peers.
 type Report struct {
-	// HasAccounts is set if the report includes accounts.
+	// HasAccounts is set if the report includes accounts, and Age is their mean age.
 	HasAccounts bool
+	Age         time.Duration
 	// Loads holds the router's own load on each target, by the target's short ID. It is
-	// nil in a report on crashes alone.
+	// nil in a report on crashes or usage alone.
 	Loads    map[uint32]Load
 	Accounts []AccountReport
 	// Limits holds the request rates that targets name, by the target's short ID.
@@ -45,28 +48,44 @@
 // AccountHash returns the hash that identifies an account in reports.
 func AccountHash(name string) uint32 { return uint32(hashName(name)) }
 
-// minReportedTokens is the usage below which an account is not reported.
-const minReportedTokens = 1
-
-// Report returns this router's report to its peers.
-func (d *Dispatcher) Report(withAccounts bool, now time.Time) Report {
-	r := Report{HasAccounts: withAccounts, Loads: make(map[uint32]Load)}
+// Report returns this router's report on loads to its peers. slow is set if the slowly
+// changing fields are due too.
+func (d *Dispatcher) Report(slow bool, now time.Time) Report {
+	r := Report{Loads: make(map[uint32]Load)}
 	for _, t := range d.targets {
 		if t.ownLoad.Running > 0 {
 			r.Loads[t.shortID] = t.ownLoad
 		}
 	}
-	if !withAccounts {
-		return r
+	if slow {
+		r.Limits, r.Crashes = d.limitReport(now), d.quarantine.Report(now)
 	}
-	r.Limits, r.Crashes = d.limitReport(now), d.quarantine.Report(now)
-	for hash, a := range d.usage.accounts {
-		requested, received := a.requested.valueAt(now, d.usage.timeConstant), a.received.valueAt(now, d.usage.timeConstant)
-		if requested >= minReportedTokens || received >= minReportedTokens {
-			r.Accounts = append(r.Accounts, AccountReport{hash, requested, received})
+	return r
+}
+
+// UsageReport returns the report on the usage of accounts at this router for the routers of
+// its availability zone.
+func (d *Dispatcher) UsageReport(now time.Time) Report {
+	return Report{HasAccounts: true, Accounts: d.usage.own(now)}
+}
+
+// ZoneUsageReport returns the report on the usage of accounts at the routers of this one's
+// availability zone for the routers of others. It reports false while fewer than half of
+// these routers have reported here.
+func (d *Dispatcher) ZoneUsageReport(now time.Time) (Report, bool) {
+	peers := 0
+	for name, m := range d.view.Members {
+		if name != d.config.Self && m.Zone == d.config.Zone {
+			peers++
 		}
 	}
-	return r
+	accounts, reported, age := d.usage.inZone(now)
+	return Report{HasAccounts: true, Accounts: accounts, Age: age}, 2*reported >= peers
+}
+
+// MergeZoneUsage replaces the usage in another availability zone.
+func (d *Dispatcher) MergeZoneUsage(zone uint32, r Report, now time.Time) {
+	d.usage.merge(usageSource{zone: zone}, r.Accounts, now.Add(-r.Age))
 }
 
 // CrashReport returns a report on crashes alone, with what peers must know at once.
@@ -78,6 +97,9 @@
 // its evidence on crashes.
 func (d *Dispatcher) Merge(name string, r Report, now time.Time) {
 	d.quarantine.Merge(r.Crashes, now)
+	if r.HasAccounts {
+		d.usage.merge(usageSource{router: name}, r.Accounts, now.Add(-r.Age))
+	}
 	if r.Loads == nil {
 		return
 	}
@@ -89,9 +111,6 @@
 	}
 	d.sumPeerLoads()
 	d.mergeLimits(r.Limits, now)
-	if r.HasAccounts {
-		d.usage.merge(name, r.Accounts, now)
-	}
 }
 
 // ExpirePeers removes the loads of peers that have sent no report for longer than
--- a/internal/dispatch/usage.go
+++ b/internal/dispatch/usage.go
@@ -15,13 +15,20 @@
 	// accounts holds all recently active accounts of the fleet by the hash of their
 	// names, which also identifies them in peer reports.
 	accounts map[uint32]*accountUsage
-	// reportedAt holds when each peer last reported the usage of accounts.
-	reportedAt map[string]time.Time
+	// reportedAt holds as of when each source last reported the usage of accounts.
+	reportedAt map[usageSource]time.Time
 	// minCompetingRatio is the lowest ratio of all accounts that are over their
 	// share and requested more than they received; 0 if there is none.
 	minCompetingRatio float64
 }
 
+// usageSource is where reported usage comes from: a router of the own availability zone, or
+// all routers of another one.
+type usageSource struct {
+	router string
+	zone   uint32
+}
+
 // accountUsage is the state of one account.
 type accountUsage struct {
 	requested, received decayingSum
@@ -29,8 +36,8 @@
 	// meanSize the mean size of the account's requests at this router.
 	requestedBefore, receivedBefore history
 	meanSize                        float64
-	// byPeer holds the usage that each peer reported.
-	byPeer map[string]peerUsage
+	// byPeer holds the usage that each source reported.
+	byPeer map[usageSource]peerUsage
 	// share is the account's max-min share in tokens, or 0 if the account requested
 	// nothing.
 	share float64
@@ -42,9 +49,10 @@
 	demandRatio float64
 }
 
-// peerUsage is the usage of an account that a peer reported.
+// peerUsage is the usage of an account that a source reported.
 type peerUsage struct {
 	requested, received float64
+	routers             int
 	reportedAt          time.Time
 }
 
@@ -69,7 +77,7 @@
 // half the window, so that the average age of the counted tokens is that of a
 // sliding window.
 func newUsage(window time.Duration) *usage {
-	return &usage{timeConstant: window / 2, accounts: make(map[uint32]*accountUsage), reportedAt: make(map[string]time.Time)}
+	return &usage{timeConstant: window / 2, accounts: make(map[uint32]*accountUsage), reportedAt: make(map[usageSource]time.Time)}
 }
 
 // account returns the usage of an account.
@@ -78,7 +86,7 @@
 func (u *usage) byHash(hash uint32) *accountUsage {
 	a := u.accounts[hash]
 	if a == nil {
-		a = &accountUsage{byPeer: make(map[string]peerUsage)}
+		a = &accountUsage{byPeer: make(map[usageSource]peerUsage)}
 		u.accounts[hash] = a
 	}
 	return a
@@ -102,13 +110,64 @@
 	u.addReceived(name, -left.valueAt(now, u.timeConstant), now)
 }
 
-// merge replaces the usage that a peer reported.
-func (u *usage) merge(peer string, reported []AccountReport, now time.Time) {
-	u.dropPeer(peer)
-	u.reportedAt[peer] = now
+// merge replaces the usage that a source reported as of a time, unless it is known as of a
+// later one: the totals of a zone come from several routers.
+func (u *usage) merge(source usageSource, reported []AccountReport, asOf time.Time) {
+	if asOf.Before(u.reportedAt[source]) {
+		return
+	}
+	u.dropPeer(source)
+	u.reportedAt[source] = asOf
 	for _, r := range reported {
-		u.byHash(r.Account).byPeer[peer] = peerUsage{r.Requested, r.Received, now}
+		u.byHash(r.Account).byPeer[source] = peerUsage{r.Requested, r.Received, max(1, r.Routers), asOf}
+	}
+}
+
+// reportedShareFraction is the fraction of its share below which an account's usage is not
+// reported: about that of its smallest requests.
+const reportedShareFraction = 1.0 / 16
+
+// minReportedTokens is the usage below which no account is reported.
+const minReportedTokens = 1
+
+// isReported reports whether an account's usage is large enough to be reported.
+func (a *accountUsage) isReported(requested, received float64) bool {
+	return math.Max(requested, received) >= math.Max(minReportedTokens, reportedShareFraction*a.share)
+}
+
+// own returns the usage of accounts at this router.
+func (u *usage) own(now time.Time) []AccountReport {
+	var reports []AccountReport
+	for hash, a := range u.accounts {
+		requested, received := a.requested.valueAt(now, u.timeConstant), a.received.valueAt(now, u.timeConstant)
+		if a.isReported(requested, received) {
+			reports = append(reports, AccountReport{hash, requested, received, 1})
+		}
+	}
+	return reports
+}
+
+// inZone returns the usage of accounts at the routers of this one's availability zone, the
+// number of other routers that are included, and the mean age of the usage.
+func (u *usage) inZone(now time.Time) (reports []AccountReport, peers int, age time.Duration) {
+	for hash, a := range u.accounts {
+		r := AccountReport{hash, a.requested.valueAt(now, u.timeConstant), a.received.valueAt(now, u.timeConstant), 1}
+		for source, p := range a.byPeer {
+			if source.router != "" {
+				r.Requested, r.Received, r.Routers = r.Requested+p.requested, r.Received+p.received, r.Routers+p.routers
+			}
+		}
+		if a.isReported(r.Requested, r.Received) {
+			reports = append(reports, r)
+		}
+	}
+	for source, at := range u.reportedAt {
+		if source.router != "" {
+			age += now.Sub(at)
+			peers++
+		}
 	}
+	return reports, peers, age / time.Duration(1+peers)
 }
 
 // usageTimeout is the time without a report of accounts after which the usage at a peer no
@@ -124,8 +183,8 @@
 	}
 }
 
-// dropPeer removes the usage that a peer reported.
-func (u *usage) dropPeer(peer string) {
+// dropPeer removes the usage that a source reported.
+func (u *usage) dropPeer(peer usageSource) {
 	delete(u.reportedAt, peer)
 	for _, a := range u.accounts {
 		delete(a.byPeer, peer)
@@ -153,6 +212,7 @@
 	for _, p := range a.byPeer {
 		peers.requested += p.requested
 		peers.received += p.received
+		peers.routers += p.routers
 		age += now.Sub(p.reportedAt)
 	}
 	age /= time.Duration(len(a.byPeer))
@@ -160,7 +220,7 @@
 	noise := growthNoiseRequests * a.meanSize
 	// An account that had much less here than at an average peer has only come to this
 	// router since, so its growth here says nothing about its peers.
-	similarity := math.Min(1, (requestedBefore+noise)*float64(len(a.byPeer))/math.Max(peers.requested, 1))
+	similarity := math.Min(1, (requestedBefore+noise)*float64(peers.routers)/math.Max(peers.requested, 1))
 	// Its callers have left the peers then, which give it less than they reported.
 	moved := (1 - similarity) * math.Min(1, math.Max(0, requested-requestedBefore-noise)/math.Max(peers.requested, 1))
 	peers.received *= 1 - moved*(1-math.Exp(-age.Seconds()/timeConstant.Seconds()))
@@ -242,8 +302,8 @@
 	// share, otherwise 0. CompetingRatio is the lowest one of all accounts that compete for
 	// spare capacity, or 0 if none does.
 	Ratio, CompetingRatio float64
-	// Peers is the number of peers whose reports include the account, and MaxAge the
-	// age of the oldest of these reports.
+	// Peers is the number of peers whose usage is known, and MaxAge the age of the oldest
+	// of it.
 	Peers  int
 	MaxAge time.Duration
 }
@@ -257,8 +317,9 @@
 func (d *Dispatcher) Underserved(limit int, now time.Time) []AccountStatus {
 	var statuses []AccountStatus
 	for hash, a := range d.usage.accounts {
-		s := AccountStatus{Account: hash, Share: a.share, Ratio: a.ratio, CompetingRatio: d.usage.minCompetingRatio, Peers: len(a.byPeer)}
+		s := AccountStatus{Account: hash, Share: a.share, Ratio: a.ratio, CompetingRatio: d.usage.minCompetingRatio}
 		for _, p := range a.byPeer {
+			s.Peers += p.routers
 			s.PeersReceived += p.received
 			s.MaxAge = max(s.MaxAge, now.Sub(p.reportedAt))
 		}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -36,7 +36,7 @@
 	maxRoundInterval = time.Second
 	// silentAfter is the time without a report after which a peer is sent reports
 	// less often: in one of silentPeerRounds rounds.
-	silentAfter      = 5 * time.Second
+	silentAfter      = 8 * time.Second
 	silentPeerRounds = 8
 	// slowFieldsInterval is the interval at which slowly changing fields are sent.
 	slowFieldsInterval = time.Second
@@ -57,10 +57,16 @@
 
 // Source creates the process's own reports and applies those of its peers.
 type Source interface {
-	// Report returns the process's report; the exchange fills in sender,
+	// Report returns the process's report on loads; the exchange fills in sender,
 	// incarnation and sequence. slow is set if the slowly changing fields are due
 	// too.
 	Report(slow bool) *zinniaquayv1.GatewayReport
+	// UsageReport returns the report on the usage of accounts at this process, for peers of
+	// its availability zone.
+	UsageReport() *zinniaquayv1.GatewayReport
+	// ZoneUsageReport returns the report on the usage of accounts in the process's
+	// availability zone, for peers of others, or nil if too little is known of it.
+	ZoneUsageReport() *zinniaquayv1.GatewayReport
 	// News receives a value when there is news that can't wait for the next reports.
 	News() <-chan struct{}
 	// NewsReport returns a short report with such news, or nil if there is none after
@@ -92,6 +98,7 @@
 	// sequence is that of the latest report, and rounds the number of rounds.
 	sequence, rounds uint32
 	news             newsRounds
+	usage            usageRounds
 	// nextPeer is the index in the sorted peers at which the next round begins.
 	nextPeer int
 	// slowFieldsSentAt is when the slowly changing fields were last due, and
@@ -199,6 +206,8 @@
 func (e *Exchange) Send(ctx context.Context) {
 	timer := time.NewTimer(minRoundInterval)
 	defer timer.Stop()
+	usageTimer := time.NewTimer(minUsageInterval)
+	defer usageTimer.Stop()
 	newsTimer := time.NewTimer(0)
 	defer newsTimer.Stop()
 	for {
@@ -207,6 +216,8 @@
 			return
 		case <-timer.C:
 			timer.Reset(e.sendRound())
+		case <-usageTimer.C:
+			usageTimer.Reset(e.sendUsageRound())
 		case addr := <-e.newcomers:
 			e.sendReport(addr)
 		case <-e.source.News():
@@ -236,7 +247,7 @@
 		e.log.Error(err, "encode report failed")
 		return maxRoundInterval
 	}
-	pause, count := planRound(cost, len(peers))
+	pause, count := planRound(cost, len(peers), budgetBytesPerSecond-e.usage.bytesPerSecond)
 	for i := range count {
 		e.sendTo(peers[(e.nextPeer+i)%len(peers)], data)
 	}
@@ -246,7 +257,7 @@
 	return e.news.delay(pause)
 }
 
-// sendReport sends a report to one peer.
+// sendReport sends reports on loads and usage to one peer.
 func (e *Exchange) sendReport(addr netip.AddrPort) {
 	data, cost, err := e.encode(e.source.Report(true))
 	if err != nil {
@@ -255,6 +266,7 @@
 	}
 	e.sendTo(addr, data)
 	e.bytesSent.Inc(int64(cost))
+	e.sendUsage(e.usageReportFor(addr), func(int) []netip.AddrPort { return []netip.AddrPort{addr} })
 }
 
 // encode returns a report as the next datagram of this process, and its size on the
@@ -267,11 +279,11 @@
 }
 
 // planRound returns the time until the next round and the number of peers in this
-// one. cost is the size of a report in bytes.
-func planRound(cost, peers int) (pause time.Duration, count int) {
-	maxCount := max(1, budgetBytesPerSecond*int(maxRoundInterval/time.Millisecond)/1000/cost)
+// one. cost is the size of a report in bytes, and budget that of a second.
+func planRound(cost, peers, budget int) (pause time.Duration, count int) {
+	maxCount := max(1, budget*int(maxRoundInterval/time.Millisecond)/1000/cost)
 	count = min(peers, maxCount)
-	pause = time.Duration(cost*count) * time.Second / budgetBytesPerSecond
+	pause = time.Duration(cost*count) * time.Second / time.Duration(budget)
 	return min(max(pause, minRoundInterval), maxRoundInterval), count
 }
 
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -8,6 +8,7 @@
 
 	zinniaquayv1 "github.com/zinniaquay/zinniaquay/gen/zinniaquay/v1"
 	"github.com/zinniaquay/zinniaquay/internal/dispatch"
+	"github.com/zinniaquay/zinniaquay/internal/exchange"
 	"github.com/zinniaquay/zinniaquay/internal/quarantine"
 )
 
@@ -18,8 +19,8 @@
 	memoryTokensPerUnit = 1024
 )
 
-// Report returns the report for peers. If slow is set, it includes the data that
-// changes slowly: the evidence on moves and the usage of accounts.
+// Report returns the report on loads for peers. If slow is set, it includes the data that
+// changes slowly: the evidence on moves and crashes, and the limits of targets.
 func (g *Gateway) Report(slow bool) *zinniaquayv1.GatewayReport {
 	own := g.scheduler.report(slow)
 	loads := &zinniaquayv1.TargetLoads{}
@@ -43,15 +44,64 @@
 		r.Limits.Target = append(r.Limits.Target, key)
 		r.Limits.PerSecond = append(r.Limits.PerSecond, float32(perSecond))
 	}
-	r.Accounts = &zinniaquayv1.AccountUsages{}
-	for _, a := range own.Accounts {
-		r.Accounts.Account = append(r.Accounts.Account, a.Account)
-		r.Accounts.Asked = append(r.Accounts.Asked, toUnits(a.Requested, tokensPerUnit))
-		r.Accounts.Got = append(r.Accounts.Got, toUnits(a.Received, tokensPerUnit))
+	return r
+}
+
+// UsageReport implements exchange.Source.
+func (g *Gateway) UsageReport() *zinniaquayv1.GatewayReport {
+	return &zinniaquayv1.GatewayReport{Zone: exchange.HashName(g.settings.Zone), Accounts: encodeUsage(g.scheduler.usageReport())}
+}
+
+// ZoneUsageReport implements exchange.Source.
+func (g *Gateway) ZoneUsageReport() *zinniaquayv1.GatewayReport {
+	report, complete := g.scheduler.zoneUsageReport()
+	if !complete {
+		return nil
+	}
+	return &zinniaquayv1.GatewayReport{Zone: exchange.HashName(g.settings.Zone), ZoneTotal: true, Accounts: encodeUsage(report)}
+}
+
+// encodeUsage converts the accounts of a report.
+func encodeUsage(r dispatch.Report) *zinniaquayv1.AccountUsages {
+	u := &zinniaquayv1.AccountUsages{AgeMs: uint32(min(max(0, r.Age.Milliseconds()), math.MaxUint32))}
+	for _, a := range r.Accounts {
+		u.Account = append(u.Account, a.Account)
+		u.Asked = append(u.Asked, toUnits(a.Requested, tokensPerUnit))
+		u.Got = append(u.Got, toUnits(a.Received, tokensPerUnit))
+		u.Gateways = append(u.Gateways, uint32(a.Routers))
+	}
+	return u
+}
+
+// decodeUsage converts the accounts of a peer's report. Lists of unequal length are
+// truncated to the shortest.
+func decodeUsage(u *zinniaquayv1.AccountUsages) dispatch.Report {
+	r := dispatch.Report{HasAccounts: true, Age: time.Duration(u.GetAgeMs()) * time.Millisecond}
+	for i := range min(len(u.GetAccount()), len(u.GetAsked()), len(u.GetGot()), len(u.GetGateways())) {
+		r.Accounts = append(r.Accounts, dispatch.AccountReport{
+			Account:   u.GetAccount()[i],
+			Requested: float64(u.GetAsked()[i]) * tokensPerUnit,
+			Received:  float64(u.GetGot()[i]) * tokensPerUnit,
+			Routers:   int(u.GetGateways()[i]),
+		})
 	}
 	return r
 }
 
+// mergeUsage applies a peer's report on usage: that at a peer of this gateway's availability
+// zone, or that in another one.
+func (g *Gateway) mergeUsage(peer string, r *zinniaquayv1.GatewayReport) {
+	usage, own := decodeUsage(r.GetAccounts()), r.GetZone() == exchange.HashName(g.settings.Zone)
+	switch {
+	case r.GetZoneTotal() && !own:
+		g.scheduler.mergeZoneUsage(r.GetZone(), usage)
+	case !r.GetZoneTotal() && own:
+		g.scheduler.merge(peer, usage)
+	default:
+		g.log.V(1).Info("report on usage ignored: it is for gateways of another zone", "peer", peer, "zone_total", r.GetZoneTotal())
+	}
+}
+
 // News implements exchange.Source.
 func (g *Gateway) News() <-chan struct{} { return g.scheduler.news }
 
@@ -103,6 +153,10 @@
 // the shortest.
 func (g *Gateway) Merge(r *zinniaquayv1.GatewayReport) {
 	peer := strconv.FormatUint(uint64(r.GetSender()), 16)
+	if r.GetAccounts() != nil {
+		g.mergeUsage(peer, r)
+		return
+	}
 	report := dispatch.Report{Crashes: decodeCrashes(r.GetCrashes())}
 	loads := r.GetLoads()
 	if loads == nil {
@@ -111,7 +165,7 @@
 	}
 	g.startup.observe(r.GetSender(), r.GetConfigurationVersion())
 	n := min(len(loads.GetTarget()), len(loads.GetRunning()), len(loads.GetBacklog()), len(loads.GetMemory()))
-	report.Loads, report.HasAccounts = make(map[uint32]dispatch.Load, n), r.GetAccounts() != nil
+	report.Loads = make(map[uint32]dispatch.Load, n)
 	for i := range n {
 		report.Loads[loads.GetTarget()[i]] = dispatch.Load{
 			Running: int(loads.GetRunning()[i]),
@@ -125,15 +179,6 @@
 	for i := range n {
 		report.Limits[limits.GetTarget()[i]] = float64(limits.GetPerSecond()[i])
 	}
-	accounts := r.GetAccounts()
-	n = min(len(accounts.GetAccount()), len(accounts.GetAsked()), len(accounts.GetGot()))
-	for i := range n {
-		report.Accounts = append(report.Accounts, dispatch.AccountReport{
-			Account:   accounts.GetAccount()[i],
-			Requested: float64(accounts.GetAsked()[i]) * tokensPerUnit,
-			Received:  float64(accounts.GetGot()[i]) * tokensPerUnit,
-		})
-	}
 	g.scheduler.merge(peer, report)
 	g.moveTracker.merge(peer, r.GetMoves())
 }
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -299,6 +299,28 @@
 	return s.dispatcher.Report(slow, time.Now())
 }
 
+// usageReport returns the report on usage at this gateway for peers of its availability zone.
+func (s *scheduler) usageReport() dispatch.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.UsageReport(time.Now())
+}
+
+// zoneUsageReport returns the report on usage in this gateway's availability zone for peers
+// of others. It reports false if too little is known of it.
+func (s *scheduler) zoneUsageReport() (dispatch.Report, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.ZoneUsageReport(time.Now())
+}
+
+// mergeZoneUsage applies a report on usage in another availability zone.
+func (s *scheduler) mergeZoneUsage(zone uint32, r dispatch.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatcher.MergeZoneUsage(zone, r, time.Now())
+}
+
 // merge applies a peer's report.
 func (s *scheduler) merge(name string, r dispatch.Report) {
 	s.mu.Lock()
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -24,13 +24,19 @@
 	Engine   EngineFigures `yaml:"engine"`
 	// TokensPerSecond is what the operator says all engines produce.
 	TokensPerSecond float64 `yaml:"tokens_per_second"`
-	// ReportMS is the pause between reports of gateways, and HopMS the way from one
+	// ReportMS is the pause between reports of gateways on loads, and HopMS the way from one
 	// process to the next.
 	ReportMS float64 `yaml:"report_ms"`
 	HopMS    float64 `yaml:"hop_ms"`
+	// UsageMS is the pause between reports on the usage of accounts; if it is left out, they
+	// come as often as the exchange's bandwidth allows.
+	UsageMS float64 `yaml:"usage_ms"`
 	// ReportSpreadMS is the most that is added to the pause between reports, drawn for
 	// each.
 	ReportSpreadMS float64 `yaml:"report_spread_ms"`
+	// Zones is the number of availability zones that the gateways are in, in turn; 1 if it is
+	// left out.
+	Zones int `yaml:"zones"`
 	// Accounts is the number of client accounts; Skew is the power by which they
 	// differ in size.
 	Accounts int     `yaml:"accounts"`
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -188,6 +188,7 @@
 	if d.Gateways > 1 {
 		for i, g := range world.gateways {
 			world.after(ms(d.ReportMS*float64(i)/float64(d.Gateways)), func() { world.reports(g) })
+			world.after(ms(firstUsageMS*float64(i)/float64(d.Gateways)), func() { world.usageReports(i, 0) })
 		}
 	}
 	return world
--- a/internal/lab/policy.go
+++ b/internal/lab/policy.go
@@ -24,7 +24,10 @@
 	ResponseStarted(sequence uint64, now time.Time)
 	End(sequence uint64, o dispatch.Outcome, now time.Time)
 	Report(slow bool, now time.Time) dispatch.Report
+	UsageReport(now time.Time) dispatch.Report
+	ZoneUsageReport(now time.Time) (dispatch.Report, bool)
 	Merge(name string, r dispatch.Report, now time.Time)
+	MergeZoneUsage(zone uint32, r dispatch.Report, now time.Time)
 	ObserveLimit(id string, perSecond float64, named bool, sentAt, now time.Time) bool
 	ObserveLeaving(id, addr string, startedUnixMilli int64, now time.Time) bool
 	CloseTarget(c dispatch.Closing, now time.Time) bool
@@ -222,8 +225,8 @@
 }
 
 // Report implements Policy.
-func (d *direct) Report(slow bool, _ time.Time) dispatch.Report {
-	r := dispatch.Report{HasAccounts: slow, Loads: make(map[uint32]dispatch.Load)}
+func (d *direct) Report(bool, time.Time) dispatch.Report {
+	r := dispatch.Report{Loads: make(map[uint32]dispatch.Load)}
 	for i, l := range d.own {
 		r.Loads[uint32(i)] = l
 	}
@@ -256,5 +259,18 @@
 	return quarantine.Crash{}, false
 }
 
+// UsageReport implements Policy; usage doesn't matter.
+func (d *direct) UsageReport(time.Time) dispatch.Report { return dispatch.Report{} }
+
+// ZoneUsageReport implements Policy.
+func (d *direct) ZoneUsageReport(time.Time) (dispatch.Report, bool) { return dispatch.Report{}, false }
+
+// MergeZoneUsage implements Policy.
+func (d *direct) MergeZoneUsage(uint32, dispatch.Report, time.Time) {}
+
 // Merge implements Policy.
-func (d *direct) Merge(name string, r dispatch.Report, _ time.Time) { d.peers[name] = r }
+func (d *direct) Merge(name string, r dispatch.Report, _ time.Time) {
+	if r.Loads != nil {
+		d.peers[name] = r
+	}
+}
