--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -21,19 +21,18 @@
 	// DefaultMaxLateBacklog is the backlog up to which a target gets such requests.
 	DefaultMaxLateBacklog = 5 * time.Millisecond
 	// maxOverShareLoad is the fraction of a target's slots in use, and
-	// maxOverShareWait the backlog, up to which it serves accounts that are just
-	// over their share.
+	// maxOverShareWait the backlog, up to which it serves accounts that are over
+	// their share.
 	maxOverShareLoad = 0.55
 	maxOverShareWait = 30 * time.Millisecond
-	// overShareExponent is the exponent by which these limits, and the part of the
-	// requests that may use spare capacity, shrink with the ratio of an account's
-	// usage to that of the least served competing account. Hosts of low capacity slow
-	// some accounts down, and the others must not take all the spare capacity in the
-	// meantime.
+	// maxOverShareLead and minOverShareLead bound the ratio of what an account may receive
+	// to what the least served competing account has, however much it requests. Hosts of
+	// low capacity slow some accounts down, and the others must not take all the spare
+	// capacity in the meantime. The operator's rule allows a ratio of two.
+	maxOverShareLead, minOverShareLead = 1.5, 0.9
+	// overShareExponent is the exponent by which that ratio falls once an account exceeds
+	// maxOverShareLead.
 	overShareExponent = 2
-	// maxOverShareLead is the ratio of an account's usage to that of the least served
-	// competing account at which it settles, however much it requests.
-	maxOverShareLead = 1.5
 	// noTargetRetryAfter is the Retry-After of a request without a usable target:
 	// about the time in which a target returns or is replaced.
 	noTargetRetryAfter = 500 * time.Millisecond
@@ -69,26 +68,28 @@
 // admitsOverShare reports whether a target has spare capacity for an account
 // that is over its share.
 func (d *Dispatcher) admitsOverShare(r *Request, c candidate) bool {
-	fraction, part := spareParts(r.order.overShareRatio, d.usage.byHash(r.accountHash).demandRatio, d.usage.minCompetingRatio)
+	part := sparePart(r.order.overShareRatio, d.usage.byHash(r.accountHash).demandRatio, d.usage.minCompetingRatio)
 	// An idle target has room within any limit, and every router sees it idle until
 	// peers report. So only a part of the requests may use it.
 	if part < 1 && d.spareDraw(r, c.target) > part {
 		return false
 	}
 	load := float64(c.target.running()) / float64(c.target.Slots)
-	return load <= maxOverShareLoad*fraction && c.wait <= time.Duration(float64(maxOverShareWait)*fraction)
+	return load <= maxOverShareLoad && c.wait <= maxOverShareWait
 }
 
-// spareParts returns the fraction of the limits up to which targets serve an account that
-// is over its share, and the part of its requests that may use them. Both shrink with the
-// ratio of its usage to that of the least served competing account. What an account
-// requests more beyond that makes the part smaller and not its usage larger.
-func spareParts(ratio, demandRatio, leastRatio float64) (limits, requests float64) {
+// sparePart returns the part of the requests of an account over its share that may use
+// spare capacity. An account above the least served competing one gets a multiple of what that
+// one has, however much it requests. The multiple falls from maxOverShareLead the further
+// the account is above it, but never below minOverShareLead: what an account received while
+// nobody else needed it is no reason to leave the account with nothing afterwards.
+func sparePart(ratio, demandRatio, leastRatio float64) float64 {
 	if leastRatio <= 0 || ratio <= leastRatio {
-		return 1, 1
+		return 1
 	}
-	limits = math.Pow(leastRatio/ratio, overShareExponent)
-	return limits, math.Min(limits, maxOverShareLead*leastRatio/math.Max(demandRatio, ratio))
+	lead := maxOverShareLead * math.Pow(maxOverShareLead*leastRatio/ratio, overShareExponent)
+	lead = math.Min(math.Max(lead, minOverShareLead), maxOverShareLead)
+	return math.Min(1, lead*leastRatio/math.Max(demandRatio, ratio))
 }
 
 // spareDraw returns a number from 0 to 1 that is fixed for a request and a target,
--- a/internal/dispatch/usage_test.go
+++ b/internal/dispatch/usage_test.go
@@ -24,10 +24,10 @@
 	for i := range reported {
 		reported[i] = AccountReport{Account: uint32(i), Requested: 1000, Received: 100}
 	}
-	u.merge("peer", reported, now)
+	u.merge(usageSource{router: "peer"}, reported, now)
 	u.computeShares(1000/u.timeConstant.Seconds(), now)
 	is.True(u.account("own").ratio > 8.9 && u.account("own").ratio < 9.1) // 900 received, share a tenth of 1000
-	u.dropPeer("peer")
+	u.dropPeer(usageSource{router: "peer"})
 	u.computeShares(1000/u.timeConstant.Seconds(), now)
 	is.Equal(u.account("own").ratio, 0.0) // the only account, within the capacity
 }
@@ -133,7 +133,7 @@
 		if at == 4900*time.Millisecond {
 			for i := range peers {
 				steady := size * atEachPeer * u.timeConstant.Seconds()
-				u.merge(string(rune('a'+i)), []AccountReport{{AccountHash("a"), steady, steady}}, now)
+				u.merge(usageSource{router: string(rune('a' + i))}, []AccountReport{{AccountHash("a"), steady, steady, 1}}, now)
 			}
 		}
 		u.computeShares(1, now)
@@ -167,7 +167,7 @@
 			const least, smoothing = 1.5, 0.1
 			ratio := least
 			for range 1000 {
-				_, requests := spareParts(ratio, demand*least, least)
+				requests := sparePart(ratio, demand*least, least)
 				ratio += smoothing * (math.Min(requests, 1)*demand*least - ratio)
 			}
 			is.True(ratio/least <= most)
