--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -117,6 +117,7 @@
 	}
 	x.route = route
 	x.setDeadline()
+	x.deadline = g.shutdown.limit(x.deadline)
 	x.account = &catalog.Account{}
 	if config.APIKeysRequired && !route.Public {
 		if err := g.checkKeysConfirmed(); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,7 +39,7 @@
 	moveTracker       *moveTracker
 	bodyBudget        *bodyBudget
 	startup           startup
-	shutdown          shutdownState
+	shutdown          *shutdownState
 	shedder           *loadShedder
 	connLimit         *connLimit
 	refusalLogLimiter *rate.Limiter
@@ -116,6 +116,7 @@
 		settings: s, codec: codec, views: views, log: log,
 		scheduler:         scheduler,
 		pool:              upstream.NewPool(registry),
+		shutdown:          newShutdownState(),
 		retries:           newRetryBudgets(s.Bounds),
 		moveTracker:       newMoveTracker(s.Name, s.Bounds.ExposureFraction),
 		bodyBudget:        &bodyBudget{availableBytes: s.MemoryBytes / bodyMemoryDivisor},
@@ -196,6 +197,7 @@
 		var cancel context.CancelFunc
 		x.ctx, cancel = context.WithDeadline(r.Context(), x.deadline)
 		defer cancel()
+		defer context.AfterFunc(g.shutdown.ending, cancel)()
 		err = g.run(x)
 	}
 	g.finish(x, err)
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -229,13 +229,37 @@
 	requestsInProgress atomic.Int64
 	startedUnixNano    atomic.Int64
 	refusing           atomic.Bool
+	// answerByUnixNano is when requests in progress are given up; 0 until the shutdown
+	// begins. ending ends then.
+	answerByUnixNano atomic.Int64
+	ending           context.Context
+	end              context.CancelFunc
+}
+
+func newShutdownState() *shutdownState {
+	s := &shutdownState{}
+	s.ending, s.end = context.WithCancel(context.Background())
+	return s
 }
 
 func (s *shutdownState) requestStarted() { s.requestsInProgress.Add(1) }
 func (s *shutdownState) requestEnded()   { s.requestsInProgress.Add(-1) }
 
-// begin marks the start of the shutdown.
-func (s *shutdownState) begin(now time.Time) { s.startedUnixNano.Store(now.UnixNano()) }
+// begin marks the start of the shutdown. Requests that are still in progress at answerBy are
+// given up then, so that their callers get an answer.
+func (s *shutdownState) begin(now, answerBy time.Time) {
+	s.answerByUnixNano.Store(answerBy.UnixNano())
+	s.startedUnixNano.Store(now.UnixNano())
+	time.AfterFunc(answerBy.Sub(now), s.end)
+}
+
+// limit returns the earlier of a deadline and the time at which a shutdown gives requests up.
+func (s *shutdownState) limit(deadline time.Time) time.Time {
+	if by := s.answerByUnixNano.Load(); by != 0 && time.Unix(0, by).Before(deadline) {
+		return time.Unix(0, by)
+	}
+	return deadline
+}
 
 // refuseRequests makes the gateway refuse new requests.
 func (s *shutdownState) refuseRequests() { s.refusing.Store(true) }
@@ -258,6 +282,9 @@
 	// drainFraction is the fraction of the grace period by which requests in
 	// progress must end.
 	drainFraction = 0.95
+	// finalAnswerTime is the time before that in which requests that have not ended are
+	// given up and answered. A host short of processor time needs most of it.
+	finalAnswerTime = 300 * time.Millisecond
 	// drainPollInterval is the interval between checks for requests in
 	// progress. idlePolls is the number of consecutive checks that find none
 	// before the process ends, so that requests still in transit receive a
@@ -282,11 +309,12 @@
 // until the end, since a request may be in flight on any of them.
 func (p *Process) stop(server *http.Server) {
 	started := time.Now()
-	shutdown := &p.gateway.shutdown
+	shutdown := p.gateway.shutdown
 	p.log.Info("stopping", "grace_ms", p.settings.Bounds.GracePeriod.Milliseconds(), "in_progress", shutdown.requestsInProgress.Load())
-	shutdown.begin(started)
 	grace := float64(p.settings.Bounds.GracePeriod)
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(time.Duration(drainFraction*grace)))
+	drained := started.Add(time.Duration(drainFraction * grace))
+	shutdown.begin(started, drained.Add(-finalAnswerTime))
+	ctx, cancel := context.WithDeadline(context.Background(), drained)
 	defer cancel()
 	wait.For(ctx, time.Duration(acceptFraction*grace))
 	shutdown.refuseRequests()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -180,6 +180,12 @@
 	if x.r.Context().Err() != nil {
 		return errkind.New(errkind.Canceled, "the caller disconnected while %s", during)
 	}
+	if g.shutdown.ending.Err() != nil {
+		if x.mayHaveRun {
+			return errkind.New(errkind.OutcomeUnknown, "the process stopped while %s", during)
+		}
+		return errkind.New(errkind.Draining, "the process stopped while %s", during)
+	}
 	if x.mayHaveRun {
 		return errkind.Wrap(errkind.RunTimeout, context.DeadlineExceeded, "the deadline passed while %s", during)
 	}
