--- a/test/soaktroubles_test.go
+++ b/test/soaktroubles_test.go
@@ -113,6 +113,7 @@
 		{4, m.freezeGateway}, {4, m.killGateway}, {6, m.stopGateway}, {2, m.hangUp}, {3, m.cutCallers}, {5, m.storeLink},
 		{6, m.store}, {2, m.compact}, {4, m.restore}, {3, m.lapse}, {6, m.targetLink}, {14, m.targetFaults}, {3, m.crashTarget}, {6, m.drainTarget},
 		{5, m.fleet.configure}, {2, m.storm}, {8, m.fleet.replaceKey}, {2, m.evacuate}, {6, m.crashingPart}, {4, m.limitTarget}, {6, m.closeTargets},
+		{4, m.oddEntries}, {4, m.slowTarget},
 	}
 	total := 0
 	for _, k := range kinds {
