--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -29,7 +29,7 @@
 	// to what the least served competing account has, however much it requests. Hosts of
 	// low capacity slow some accounts down, and the others must not take all the spare
 	// capacity in the meantime. The operator's rule allows a ratio of two.
-	maxOverShareLead, minOverShareLead = 1.5, 0.9
+	maxOverShareLead, minOverShareLead = 1.25, 0.9
 	// overShareExponent is the exponent by which that ratio falls once an account exceeds
 	// maxOverShareLead.
 	overShareExponent = 2
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -122,6 +122,8 @@
 	starts int
 	// rng draws what faults hit and which reports are lost.
 	rng *rand.Rand
+	// usageRNG draws which reports on usage are lost.
+	usageRNG *rand.Rand
 	// crashCauses holds when engines crashed under a crashing part, and crashingSent
 	// when the requests with such a part were sent that reached an engine.
 	crashCauses, crashingSent []time.Duration
@@ -167,7 +169,7 @@
 
 func newWorld(d Workload, w Strategy, seed uint64) *world {
 	view, known := viewOf(&d), make(map[uint64]bool)
-	world := &world{day: d, strategy: w, view: view, engines: make(map[string]*engine), rng: rand.New(rand.NewPCG(seed, 3))}
+	world := &world{day: d, strategy: w, view: view, engines: make(map[string]*engine), rng: rand.New(rand.NewPCG(seed, 3)), usageRNG: rand.New(rand.NewPCG(seed, 4))}
 	for i := range d.Engines {
 		e := newEngine(engineID(i), d.Engine, known)
 		world.engines[e.id] = e
--- a/internal/lab/usage.go
+++ b/internal/lab/usage.go
@@ -49,7 +49,7 @@
 
 // sendUsage sends a report on usage, which may be lost, and returns its size in bytes.
 func (w *world) sendUsage(r dispatch.Report, merge func()) int {
-	if !w.lost() {
+	if loss := w.day.Faults.ReportLoss; loss == 0 || w.usageRNG.Float64() >= loss {
 		w.after(w.hop(), merge)
 	}
 	return usageHeadBytes + usageAccountBytes*len(r.Accounts)
