--- a/internal/gateway/connshed.go
+++ b/internal/gateway/connshed.go
@@ -58,6 +58,7 @@
 		s.close(conn)
 		return true
 	case err != nil && !errors.Is(err, syscall.EAGAIN):
+		s.gateway.log.V(1).Info("connection closed unread", "cause", err.Error())
 		s.close(conn)
 		return true
 	}
