--- a/internal/gateway/connshed.go
+++ b/internal/gateway/connshed.go
@@ -120,7 +120,7 @@
 	if err := conn.SetWriteDeadline(time.Now().Add(shedReadTimeout)); err != nil {
 		return // the connection is closed
 	}
-	if _, err := conn.Conn.Write(g.lastResponse(x, err)); err != nil {
+	if _, err := conn.Write(g.lastResponse(x, err)); err != nil {
 		g.log.V(1).Info("caller disconnected before its refusal was written", "cause", err.Error())
 	}
 }
