--- a/internal/gateway/connshed.go
+++ b/internal/gateway/connshed.go
@@ -30,14 +30,15 @@
 // goroutine and buffers on them, while the process is short of processor time.
 type connShedder struct {
 	gateway *Gateway
-	// buffer holds the request of the connection that is being accepted.
+	// buffer holds the request of the connection that is being accepted, which reader parses.
 	buffer []byte
+	reader *bufio.Reader
 	// waiting holds one value for each connection that waits for the rest of its request.
 	waiting chan struct{}
 }
 
 func newConnShedder(g *Gateway) *connShedder {
-	return &connShedder{gateway: g, buffer: make([]byte, maxShedHeadBytes), waiting: make(chan struct{}, maxShedding)}
+	return &connShedder{gateway: g, buffer: make([]byte, maxShedHeadBytes), reader: bufio.NewReader(nil), waiting: make(chan struct{}, maxShedding)}
 }
 
 // take takes a new connection if its first request is to be shed, and reports whether it did.
@@ -62,7 +63,7 @@
 		s.close(conn)
 		return true
 	}
-	if request, complete := parseRequest(s.buffer[:n]); complete {
+	if request, complete := s.parse(s.buffer[:n]); complete {
 		if _, err := readAvailable(conn.Conn, s.buffer[:1]); errors.Is(err, io.EOF) {
 			shedder.recordDisconnect()
 		} else {
@@ -148,13 +149,15 @@
 	return b.Bytes()
 }
 
-// parseRequest parses a request with its body. It reports false if some of it is missing.
-func parseRequest(data []byte) (*http.Request, bool) {
+// parse parses a request with its body. It reports false if some of it is missing. The body
+// of what it returns can't be read.
+func (s *connShedder) parse(data []byte) (*http.Request, bool) {
 	end := bytes.Index(data, headEnd)
 	if end < 0 {
 		return nil, false
 	}
-	request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(data)))
+	s.reader.Reset(bytes.NewReader(data))
+	request, err := http.ReadRequest(s.reader)
 	if err != nil || request.ContentLength < 0 || int64(len(data)-end-len(headEnd)) < request.ContentLength {
 		return nil, false
 	}
