--- a/internal/gateway/connshed.go
+++ b/internal/gateway/connshed.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/zinniaquay/zinniaquay/internal/errkind"
 )
 
@@ -35,6 +37,7 @@
 	reader *bufio.Reader
 	// waiting holds one value for each connection that waits for the rest of its request.
 	waiting chan struct{}
+	group   conc.WaitGroup
 }
 
 func newConnShedder(g *Gateway) *connShedder {
@@ -75,16 +78,19 @@
 	select {
 	case s.waiting <- struct{}{}:
 	default:
-		// The caller has not been read, so it may repeat its request at once.
+		// The caller has not been read, so it may repeat its request at once, at another process
+		// once this one is out of rotation.
+		s.gateway.connLimit.closedUnread.Inc(1)
+		shedder.connClosedUnread()
 		s.close(conn)
 		return true
 	}
 	start := bytes.Clone(s.buffer[:n])
-	go func() {
+	s.group.Go(func() {
 		defer func() { <-s.waiting }()
 		defer s.close(conn)
 		s.refuseLater(conn, start)
-	}()
+	})
 	return true
 }
 
