--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -15,6 +15,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 
 	"github.com/zinniaquay/zinniaquay/internal/catalog"
 	"github.com/zinniaquay/zinniaquay/internal/clock"
@@ -46,6 +47,10 @@
 	// departureMemory is how long a target that left is remembered. Copies from which a
 	// store is restored are some seconds old.
 	departureMemory = time.Minute
+	// maxUnreadable bounds the items that are remembered since they can't be decoded, and
+	// maxUnreadableLogs the log lines about such items in a second.
+	maxUnreadable     = 1000
+	maxUnreadableLogs = 20
 	// outageAfter is the time without a successful call after which a failed call
 	// marks the store as down.
 	outageAfter = time.Second
@@ -107,8 +112,12 @@
 	recoveredRevision int64
 	down              atomic.Bool
 	// unreadable holds, by key, the revisions of items that were logged because
-	// they can't be decoded.
+	// they can't be decoded, as far as maxUnreadable allows.
 	unreadable map[string]int64
+	// unreadableLimiter limits the log lines about them, and unreadableItems counts how often
+	// one was skipped.
+	unreadableLimiter *rate.Limiter
+	unreadableItems   metrics.Counter
 	// newestEra is the latest era of the store that a response named.
 	newestEra int64
 	// restoredAt is when the view was first read from the store's present history; zero
@@ -130,9 +139,13 @@
 		advanced:         make(chan struct{}),
 		pendingDeletions: make(map[string]time.Time),
 		unreadable:       make(map[string]int64),
-		departures:       make(map[string]departure),
-		resyncRequests:   make(chan struct{}, 1),
-		lastSuccess:      time.Now(),
+
+		unreadableLimiter: rate.NewLimiter(maxUnreadableLogs, maxUnreadableLogs),
+		unreadableItems:   metrics.GetOrRegisterCounter(telemetry.Name("store_items_unreadable_total"), registry),
+
+		departures:     make(map[string]departure),
+		resyncRequests: make(chan struct{}, 1),
+		lastSuccess:    time.Now(),
 	}
 	d.view.Store(emptyView())
 	return d
@@ -340,16 +353,26 @@
 }
 
 // applyItem decodes one item into a view. An item that can't be decoded is logged
-// once per revision.
+// once per revision, unless there are too many of them.
 func (d *Directory) applyItem(view *catalog.View, item platform.Item, now time.Time) {
 	err := d.decoder.Decode(view, item, now)
 	if _, id, ok := strings.Cut(item.Key, "/"); ok {
 		delete(d.pendingDeletions, id) // the entry was written again, or its deletion is not deferred
 	}
-	if err != nil && d.unreadable[item.Key] != item.Revision {
+	if err == nil || item.Deleted {
+		delete(d.unreadable, item.Key)
+	}
+	if err == nil {
+		return
+	}
+	d.unreadableItems.Inc(1)
+	if d.unreadable[item.Key] == item.Revision || !d.unreadableLimiter.Allow() {
+		return
+	}
+	if _, known := d.unreadable[item.Key]; (known || len(d.unreadable) < maxUnreadable) && !item.Deleted {
 		d.unreadable[item.Key] = item.Revision
-		d.log.Error(err, "decode item failed; item skipped", "key", item.Key, "revision", item.Revision)
 	}
+	d.log.Error(err, "decode item failed; item skipped", "key", item.Key, "revision", item.Revision, "skipped_so_far", d.unreadableItems.Count())
 }
 
 // publish makes a view the current one, without the targets whose removal is due. The
