--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -28,7 +28,7 @@
 	// maxOverShareLead and minOverShareLead bound the ratio of what an account may receive
 	// to what the least served competing account has, however much it requests. Hosts of
 	// low capacity slow some accounts down, and the others must not take all the spare
-	// capacity in the meantime. The operator's rule allows a ratio of two.
+	// capacity in the meantime.
 	maxOverShareLead, minOverShareLead = 1.25, 0.9
 	// overShareExponent is the exponent by which that ratio falls once an account exceeds
 	// maxOverShareLead.
