--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -1,7 +1,9 @@
 // Package directory keeps a process's view of the deployment up to date with the
-// platform's store. It uses one watch, a periodic check that the watch has not
-// stalled, and a full read if the store's history is compacted. It also
-// registers the process itself.
+// platform's store. One process of an availability zone watches the store, with a
+// periodic check that the watch has not stalled and a full read if the store's history
+// is compacted. The others take changes from it, with the time as of which its view is
+// known to be current, and turn to the store themselves when it is silent or outdated.
+// The package also registers the process itself.
 package directory
 
 import (
@@ -21,21 +23,14 @@
 	"github.com/zinniaquay/zinniaquay/internal/clock"
 	"github.com/zinniaquay/zinniaquay/internal/platform"
 	"github.com/zinniaquay/zinniaquay/internal/telemetry"
-	"github.com/zinniaquay/zinniaquay/internal/wait"
 )
 
 const (
 	// watchTimeout is how long one watch call waits for changes.
 	watchTimeout = 20 * time.Second
-	// checkInterval is the pause between two checks of the watch. A check, the
-	// wait for maxWatchLag and the full read after it fit into the two
-	// seconds within which a configuration must take effect. A failed check is
-	// repeated after checkRetryInterval.
-	checkInterval      = 1400 * time.Millisecond
-	checkRetryInterval = 300 * time.Millisecond
-	// maxWatchLag is how long a watch may lag behind a check before it counts as
-	// stalled.
-	maxWatchLag = 300 * time.Millisecond
+	// defaultMaxApplyDelay is the time limit for a configuration to be in force if the
+	// operator sets none.
+	defaultMaxApplyDelay = 2 * time.Second
 	// retryDelay is the pause after a failed call.
 	retryDelay = 150 * time.Millisecond
 	// recoveryGrace is the time that targets have after an outage of the store to
@@ -76,11 +71,26 @@
 	EncodeStatus(service, to string, state catalog.MoveState) ([]byte, error)
 }
 
+// Options configure a directory.
+type Options struct {
+	// Self is the process itself.
+	Self catalog.Member
+	// MaxApplyDelay is the time after which a configuration must be in force and a
+	// leaving target gets no new requests; 0 means 2 s.
+	MaxApplyDelay time.Duration
+	// Peers are the calls to other processes, or nil if this one uses the store only.
+	Peers Peers
+	// OnChange is called with each new view, one call at a time.
+	OnChange func(*catalog.View)
+}
+
 // Directory holds the view of one process. It is safe for concurrent use.
 type Directory struct {
 	store   platform.Store
 	decoder Decoder
 	layout  Layout
+	self    catalog.Member
+	timing  timing
 	log     logr.Logger
 	// sinceBoot returns the time since the host started, including suspensions.
 	sinceBoot   func() time.Duration
@@ -127,13 +137,22 @@
 	departures map[string]departure
 	// resyncRequests ends the current watch, so that the whole store is read again.
 	resyncRequests chan struct{}
+	// checkRequests has the view checked now if it is due, and watchRequests ends the
+	// pause after a change.
+	checkRequests, watchRequests chan struct{}
+	// history holds the latest changes for other processes, and followedAt is when one
+	// last asked for changes, by sinceBoot; 0 before the first.
+	history    history
+	followedAt atomic.Int64
+	// watchers selects the process to take changes from.
+	watchers *watchers
 }
 
-// New returns a directory with an empty view. onChange is called with each new
-// view, one call at a time.
-func New(store platform.Store, decoder Decoder, onChange func(*catalog.View), registry metrics.Registry, log logr.Logger) *Directory {
+// New returns a directory with an empty view.
+func New(store platform.Store, decoder Decoder, o Options, registry metrics.Registry, log logr.Logger) *Directory {
 	d := &Directory{
-		store: store, decoder: decoder, layout: decoder.Layout(), onChange: onChange, log: log, sinceBoot: clock.SinceBoot,
+		store: store, decoder: decoder, layout: decoder.Layout(), self: o.Self, timing: newTiming(o.MaxApplyDelay),
+		onChange: o.OnChange, log: log, sinceBoot: clock.SinceBoot,
 		calls:            metrics.GetOrRegisterCounter(telemetry.Name("store_calls_total"), registry),
 		failedCalls:      metrics.GetOrRegisterCounter(telemetry.Name("store_calls_failed_total"), registry),
 		advanced:         make(chan struct{}),
@@ -145,7 +164,10 @@
 
 		departures:     make(map[string]departure),
 		resyncRequests: make(chan struct{}, 1),
+		checkRequests:  make(chan struct{}, 1),
+		watchRequests:  make(chan struct{}, 1),
 		lastSuccess:    time.Now(),
+		watchers:       newWatchers(o.Self, o.Peers, registry),
 	}
 	d.view.Store(emptyView())
 	return d
@@ -184,19 +206,6 @@
 // StoreDown reports whether the store is not responding.
 func (d *Directory) StoreDown() bool { return d.down.Load() }
 
-// Follow keeps the view up to date until the context ends.
-func (d *Directory) Follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		started := time.Now()
-		if err := d.readAll(ctx); err == nil {
-			d.watch(ctx)
-		}
-		if time.Since(started) < retryDelay {
-			wait.For(ctx, retryDelay)
-		}
-	}
-}
-
 // errOutdated means that a response is from an earlier history of the store.
 var errOutdated = errors.New("the response is from before the store was restored")
 
@@ -231,6 +240,7 @@
 	}
 	d.keepMissingTargets(old, view, now)
 	d.keepLost(old, view, now)
+	d.history.reset(position)
 	d.publish(view, position)
 	d.confirm(requestedAt)
 	d.log.Info("view read from the store", "items", len(items), "era", position.Era, "revision", position.Revision,
@@ -269,66 +279,6 @@
 	}
 }
 
-// watch applies changes until the store's history is compacted or replaced, or the
-// periodic check finds the watch stalled.
-func (d *Directory) watch(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		select {
-		case <-d.resyncRequests:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	for ctx.Err() == nil {
-		d.mu.Lock()
-		after := d.applied
-		d.mu.Unlock()
-		change, err := d.store.Watch(ctx, "", after, watchTimeout)
-		if ctx.Err() != nil {
-			return
-		}
-		d.recordResult(err)
-		if errors.Is(err, platform.ErrCompacted) {
-			d.log.Info("store history is compacted", "era", after.Era, "after", after.Revision)
-			return
-		}
-		if err != nil {
-			if !wait.For(ctx, retryDelay) {
-				return
-			}
-			continue
-		}
-		if !d.apply(change) {
-			return
-		}
-	}
-}
-
-// apply applies the changes of a watch to the view. It reports false if they belong to
-// another history of the store than the view.
-func (d *Directory) apply(change platform.Change) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.recordEra(change.Position.Era)
-	if change.Position.Era != d.applied.Era {
-		return false
-	}
-	old, now := d.view.Load(), time.Now()
-	view := copyView(old)
-	d.recordRecoveryRevision(change.Position.Revision)
-	for _, item := range change.Items {
-		if item.Deleted && d.deferDeletion(item, view, now) {
-			continue
-		}
-		d.applyItem(view, item, now)
-	}
-	d.keepMoves(old, view, now)
-	d.publish(view, change.Position)
-	return true
-}
-
 // recordRecoveryRevision records the first revision that the store returns after
 // an outage. The caller holds mu.
 func (d *Directory) recordRecoveryRevision(revision int64) {
@@ -402,6 +352,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
+	d.history.trim(now)
 	d.endRestore(now)
 	for _, until := range d.pendingDeletions {
 		if now.After(until) {
@@ -436,77 +387,17 @@
 		}
 		return
 	}
-	if d.down.Load() {
-		d.down.Store(false)
-		d.recoveredAt, d.recoveredRevision = now, 0
-		d.log.Info("store reachable again", "away_ms", now.Sub(d.lastSuccess).Milliseconds())
-	}
-	d.lastSuccess = now
+	d.recordReachable(now)
 }
 
-// Check periodically confirms the view until the context ends. A watch without
-// changes may have stalled and does not confirm the view; a response with the
-// store's revision does.
-func (d *Directory) Check(ctx context.Context) {
-	pause := checkInterval
-	for wait.For(ctx, pause) {
-		pause = checkRetryInterval
-		requestedAt := d.sinceBoot()
-		_, position, err := d.store.Range(ctx, d.layout.OperatorPrefix, d.layout.LargeItemKey)
-		d.recordResult(err)
-		if err != nil {
-			continue
-		}
-		d.mu.Lock()
-		d.recordRecoveryRevision(position.Revision)
-		d.recordEra(position.Era)
-		outdated := position.Era < d.newestEra
-		d.mu.Unlock()
-		if outdated {
-			d.log.Info("check ignored", "era", position.Era, "cause", errOutdated.Error())
-			continue
-		}
-		if d.waitForPosition(ctx, position) {
-			d.confirm(requestedAt)
-			pause = checkInterval
-			continue
-		}
-		d.log.Info("watch lags behind the store", "era", position.Era, "revision", position.Revision)
-		d.requestResync()
-	}
-}
-
-// requestResync has the whole store read again.
-func (d *Directory) requestResync() {
-	select {
-	case d.resyncRequests <- struct{}{}:
-	default: // one is requested already
-	}
-}
-
-// waitForPosition waits up to maxWatchLag for the view to contain all changes up
-// to a position, and reports whether it does.
-func (d *Directory) waitForPosition(ctx context.Context, position platform.Position) bool {
-	timer := time.NewTimer(maxWatchLag)
-	defer timer.Stop()
-	for {
-		d.mu.Lock()
-		applied, advanced := d.applied, d.advanced
-		d.mu.Unlock()
-		if applied.Era != position.Era {
-			return false
-		}
-		if applied.Revision >= position.Revision {
-			return true
-		}
-		select {
-		case <-advanced:
-		case <-timer.C:
-			return false
-		case <-ctx.Done():
-			return false
-		}
+// recordReachable records that the store responded at a time. The caller holds mu.
+func (d *Directory) recordReachable(at time.Time) {
+	if d.down.Load() {
+		d.down.Store(false)
+		d.recoveredAt, d.recoveredRevision = time.Now(), 0
+		d.log.Info("store reachable again", "away_ms", at.Sub(d.lastSuccess).Milliseconds())
 	}
+	d.lastSuccess = at
 }
 
 func configVersion(v *catalog.View) int64 {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -258,7 +258,7 @@
 	rng := rand.New(rand.NewPCG(seed, 1))
 	store := &faultyStore{items: make(map[string]platform.Item)}
 	store.put("op/config", "1")
-	d := New(store, testDecoder{}, func(*catalog.View) {}, metrics.NewRegistry(), logr.Discard())
+	d := New(store, testDecoder{}, Options{OnChange: func(*catalog.View) {}}, metrics.NewRegistry(), logr.Discard())
 	started, suspended := time.Now(), time.Duration(0)
 	var mu sync.Mutex
 	sinceBoot := func() time.Duration {
--- a/internal/directory/register.go
+++ b/internal/directory/register.go
@@ -20,6 +20,9 @@
 	// turnInterval is the time by which a process waits longer than the one before it, in
 	// the order of names, before it writes lost entries again.
 	turnInterval = 200 * time.Millisecond
+	// registerTimeout is how long a process waits to see its own entry in the view before it
+	// writes it again.
+	registerTimeout = 2 * time.Second
 	// maxCommitWrites bounds the entries in one commit.
 	maxCommitWrites = 32
 )
@@ -37,7 +40,8 @@
 		switch {
 		case !read:
 		case known.Addr != self.Addr || known.Zone != self.Zone:
-			d.writeMembers(ctx, []catalog.Member{{Name: self.Name, Addr: self.Addr, Zone: self.Zone, Revision: known.Revision}})
+			written := d.writeMembers(ctx, []catalog.Member{{Name: self.Name, Addr: self.Addr, Zone: self.Zone, Revision: known.Revision}})
+			d.waitForPosition(ctx, written, registerTimeout)
 		case len(lostMembers(d.View())) > 0:
 			if !wait.For(ctx, turnInterval*time.Duration(turn(d.View(), self.Name))) {
 				return
@@ -81,7 +85,8 @@
 }
 
 // writeMembers writes the entries of members, each if it has not changed since its revision.
-func (d *Directory) writeMembers(ctx context.Context, members []catalog.Member) {
+// It returns the position of the write; the zero position if it failed.
+func (d *Directory) writeMembers(ctx context.Context, members []catalog.Member) platform.Position {
 	var conditions []platform.Condition
 	var writes []platform.Write
 	for _, m := range members {
@@ -94,18 +99,20 @@
 		conditions = append(conditions, platform.Condition{Key: key, Revision: m.Revision})
 		writes = append(writes, platform.Write{Key: key, Value: value})
 	}
-	if err := d.commit(ctx, conditions, writes, nil); err != nil {
+	position, err := d.commit(ctx, conditions, writes, nil)
+	if err != nil {
 		// The next attempt reads the revisions from the view again.
 		d.log.Info("register members failed; trying again", "members", len(writes), "cause", err.Error())
-		return
+		return platform.Position{}
 	}
 	d.log.Info("members registered", "members", len(writes))
+	return position
 }
 
 // commit writes and removes keys if all conditions hold. After a restore of the store a
 // condition may hold for another item than the one that was read; then the view is read
 // anew, and what is missing in it is written again.
-func (d *Directory) commit(ctx context.Context, conditions []platform.Condition, writes []platform.Write, removes []string) error {
+func (d *Directory) commit(ctx context.Context, conditions []platform.Condition, writes []platform.Write, removes []string) (platform.Position, error) {
 	position, err := d.store.Commit(ctx, conditions, writes, removes)
 	d.recordResult(err)
 	d.mu.Lock()
@@ -114,13 +121,13 @@
 	if position.Era > d.applied.Era {
 		d.requestResync()
 	}
-	return err
+	return position, err
 }
 
 // RemoveMember removes the entry of a member that no longer runs.
 func (d *Directory) RemoveMember(ctx context.Context, m catalog.Member) {
 	key := d.layout.MemberKey(m.Name)
-	err := d.commit(ctx, []platform.Condition{{Key: key, Revision: m.Revision}}, nil, []string{key})
+	_, err := d.commit(ctx, []platform.Condition{{Key: key, Revision: m.Revision}}, nil, []string{key})
 	if err != nil && !errors.Is(err, platform.ErrConflict) {
 		d.log.Info("remove silent member failed", "member", m.Name, "cause", err.Error())
 		return
@@ -137,7 +144,7 @@
 	}
 	key := d.layout.StatusKey(service)
 	condition := platform.Condition{Key: key, Revision: expectedRevision}
-	if err := d.commit(ctx, []platform.Condition{condition}, []platform.Write{{Key: key, Value: value}}, nil); err != nil {
+	if _, err := d.commit(ctx, []platform.Condition{condition}, []platform.Write{{Key: key, Value: value}}, nil); err != nil {
 		return fmt.Errorf("write status of %s: %w", service, err)
 	}
 	return nil
--- a/internal/directory/unreadable_test.go
+++ b/internal/directory/unreadable_test.go
@@ -24,7 +24,7 @@
 	const entries = 10_000
 	is, lines, registry := is.New(t), 0, metrics.NewRegistry()
 	log := funcr.New(func(string, string) { lines++ }, funcr.Options{})
-	d := New(&faultyStore{}, oddDecoder{}, func(*catalog.View) {}, registry, log)
+	d := New(&faultyStore{}, oddDecoder{}, Options{OnChange: func(*catalog.View) {}}, registry, log)
 	view, now := emptyView(), time.Now()
 	for revision := range int64(2) {
 		for i := range entries {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -306,12 +306,15 @@
 	return time.Since(e.started)
 }
 
+// Silent reports whether no report of a member came for silentAfter.
+func (e *Exchange) Silent(name string) bool { return e.SinceLastReport(name) > silentAfter }
+
 // peers returns the sorted addresses of the other members. Members without a
 // recent report are left out unless includeSilent is set.
 func (e *Exchange) peers(includeSilent bool) []netip.AddrPort {
 	var peers []netip.AddrPort
 	for name, m := range e.members() {
-		if name == e.self.Name || !includeSilent && e.SinceLastReport(name) > silentAfter {
+		if name == e.self.Name || !includeSilent && e.Silent(name) {
 			continue
 		}
 		addr, err := netip.ParseAddrPort(m.Addr)
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -16,6 +16,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/zinniaquay/zinniaquay/internal/catalog"
+	"github.com/zinniaquay/zinniaquay/internal/changefeed"
 	"github.com/zinniaquay/zinniaquay/internal/directory"
 	"github.com/zinniaquay/zinniaquay/internal/exchange"
 	"github.com/zinniaquay/zinniaquay/internal/platform"
@@ -65,7 +66,11 @@
 	log logr.Logger) *Process {
 	p := &Process{settings: s, log: log, registry: registry}
 	p.self = catalog.Member{Name: s.Name, Zone: s.Zone, Addr: s.PeerAddr}
-	p.directory = directory.New(store, decoder, func(v *catalog.View) { p.gateway.SetView(v) }, registry, log)
+	p.directory = directory.New(store, decoder, directory.Options{
+		Self: p.self, MaxApplyDelay: s.Bounds.MaxApplyDelay,
+		Peers:    changefeed.NewClient(func(name string) bool { return p.exchange.Silent(name) }),
+		OnChange: func(v *catalog.View) { p.gateway.SetView(v) },
+	}, registry, log)
 	p.gateway = New(s, codec, p.directory, registry, log)
 	p.exchange = exchange.New(p.self, p.gateway,
 		func() map[string]catalog.Member { return p.directory.View().Members }, registry, log)
@@ -90,6 +95,10 @@
 	if err := p.exchange.Listen(); err != nil {
 		return err
 	}
+	feedListener, err := net.Listen("tcp4", p.settings.PeerAddr)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
 	debug.SetMemoryLimit(p.settings.MemoryBytes * memoryLimitPercent / 100)
 	p.log.Info("started", "zone", p.settings.Zone, "callers", p.settings.CallerAddr, "metrics", p.settings.MetricsAddr)
 
@@ -102,7 +111,7 @@
 		group.Go(func() { task(taskCtx) })
 	}
 	group.Go(func() { p.directory.Register(taskCtx, p.self) })
-	auxServers := []*http.Server{p.serveReady(readyListener, &group), p.serveMetrics(metricsListener, &group)}
+	auxServers := []*http.Server{p.serveReady(readyListener, &group), p.serveMetrics(metricsListener, &group), p.serveFeed(feedListener, &group)}
 	callerServer := p.serveCallers(callerListener, &group)
 
 	<-ctx.Done()
@@ -151,6 +160,14 @@
 	return server
 }
 
+// serveFeed starts the server for peers that take changes of the store from this process.
+func (p *Process) serveFeed(l net.Listener, group *conc.WaitGroup) *http.Server {
+	server := changefeed.NewServer(p.directory)
+	server.ErrorLog = telemetry.StandardLog(p.log)
+	group.Go(func() { p.serve(server, l) })
+	return server
+}
+
 func (p *Process) serve(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		p.log.Error(err, "server failed", "addr", l.Addr().String())
