--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -60,10 +60,10 @@
 	pooled := relayBuffers.Get().(*[]byte)
 	defer relayBuffers.Put(pooled)
 	buffer, buffered, responseStarted := *pooled, 0, false
+	if err := g.setEventDeadline(x, conn); err != nil {
+		return transferError(x, err, "set a deadline")
+	}
 	for {
-		if err := g.setEventDeadline(x, conn); err != nil {
-			return transferError(x, err, "set a deadline")
-		}
 		n, err := resp.Body.Read(buffer[buffered:])
 		buffered += n
 		if last := bytes.LastIndex(buffer[:buffered], eventTerminator); last >= 0 {
@@ -78,6 +78,11 @@
 			if err := g.writeEvents(x, resp, buffer[:complete]); err != nil {
 				return err
 			}
+			if carriesEvent(buffer[:complete]) {
+				if err := g.setEventDeadline(x, conn); err != nil {
+					return transferError(x, err, "set a deadline")
+				}
+			}
 			buffered = copy(buffer, buffer[complete:buffered])
 		}
 		switch {
@@ -125,8 +130,19 @@
 	return fmt.Errorf("%w: event %q after %q", errNotResumed, id, r.lastEventID)
 }
 
+// carriesEvent reports whether a part of a stream has more than comments, which a stalled
+// target may go on to send.
+func carriesEvent(part []byte) bool {
+	for line := range bytes.Lines(part) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // setEventDeadline bounds the wait for the next event if another target can
-// resume the stream.
+// resume the stream. Bytes that complete no event don't extend it.
 func (g *Gateway) setEventDeadline(x *call, conn *upstream.Conn) error {
 	if !x.route.Resumable || len(x.tried) >= x.route.MaxAttempts || x.route.MaxGap <= 0 {
 		return nil
