--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -25,6 +25,9 @@
 	// their share.
 	maxOverShareLoad = 0.55
 	maxOverShareWait = 30 * time.Millisecond
+	// maxOverShareAverageWait is the fraction of its objective that a request of such an
+	// account would wait on average, up to which targets have spare capacity.
+	maxOverShareAverageWait = 0.12
 	// maxOverShareLead and minOverShareLead bound the ratio of what an account may receive
 	// to what the least served competing account has, however much it requests. Hosts of
 	// low capacity slow some accounts down, and the others must not take all the spare
@@ -53,7 +56,7 @@
 		return true
 	}
 	if now.Add(c.firstToken).Sub(r.Arrived) > r.Objective &&
-		(c.wait > d.config.MaxLateBacklog || float64(c.target.running()) > d.config.MaxLateLoad*float64(c.target.Slots)) {
+		(c.wait > d.config.MaxLateBacklog || c.target.estimate.load > d.config.MaxLateLoad) {
 		return false
 	}
 	return r.order.overShareRatio == 0 || d.admitsOverShare(r, c)
@@ -74,8 +77,8 @@
 	if part < 1 && d.spareDraw(r, c.target) > part {
 		return false
 	}
-	load := float64(c.target.running()) / float64(c.target.Slots)
-	return load <= maxOverShareLoad && c.wait <= maxOverShareWait
+	return c.target.estimate.load <= maxOverShareLoad && c.wait <= maxOverShareWait &&
+		c.averageWait <= time.Duration(maxOverShareAverageWait*float64(r.Objective))
 }
 
 // sparePart returns the part of the requests of an account over its share that may use
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -15,9 +15,10 @@
 	// cachedTokens is the estimated number of prompt tokens in the target's prefix
 	// cache.
 	cachedTokens int
-	// wait is the time to prefill the backlog ahead of the request, and firstToken
-	// the time to the request's first token.
-	wait, firstToken time.Duration
+	// wait is the time to prefill the backlog ahead of the request that is known, averageWait
+	// that for what a target has beyond it on average, and firstToken the time to the request's
+	// first token.
+	wait, averageWait, firstToken time.Duration
 	// cost orders candidates; lower is better.
 	cost float64
 }
@@ -44,6 +45,9 @@
 	// which admits prompts in order of arrival. It is enough to keep the engine
 	// busy between two responses.
 	maxEngineWaitMS = 120.0
+	// averageWaitMargin multiplies the average wait in the prediction of a first token, so that
+	// most of them come in time: the backlogs of targets differ.
+	averageWaitMargin = 1.5
 	// maxMemoryFraction is the fraction of an engine's memory that running requests
 	// may use; beyond it the engine interrupts the newest requests.
 	maxMemoryFraction = 0.9
@@ -96,12 +100,14 @@
 	// openIn is the time until the target may get a request by the limit that it names
 	// and the time for which it is closed.
 	openIn time.Duration
-	// tokensPerMS is the engine's prefill rate, and waitMS the time to prefill the
-	// present backlog.
-	tokensPerMS, waitMS float64
+	// tokensPerMS is the engine's prefill rate, waitMS the time to prefill the backlog that is
+	// known, and averageWaitMS that for what a target has beyond it on average.
+	tokensPerMS, waitMS, averageWaitMS float64
 	// freeMemory is the number of tokens that one more request may hold. A request
 	// that runs alone may hold any number.
 	freeMemory float64
+	// load is the fraction of the target's slots in use.
+	load float64
 	// cost is the part of a candidate's cost that doesn't depend on the request.
 	cost float64
 }
@@ -112,16 +118,19 @@
 	if t.estimate.round == d.round {
 		return
 	}
-	running := t.running()
+	known, peers := d.peerLoad(t, now)
+	running := t.ownLoad.Running + peers.Running
 	p := targetEstimate{
-		round: d.round, tokensPerMS: t.prefillRate.tokensPerMS(), hasSlot: running < t.Slots, freeMemory: math.Inf(1),
+		round: d.round, tokensPerMS: t.prefillRate.tokensPerMS(), hasSlot: running < float64(t.Slots), freeMemory: math.Inf(1),
 		usable: d.acceptsRequests(t, now) && !d.view.ZonesOut[t.Zone] && !t.health.isDown(now) && (!t.Cold(now) || d.canSendCold(t, now)),
-		cost:   failingCostMS*t.health.failureRatio() + fullLoadCostMS*float64(running)/float64(t.Slots),
+		load:   running / float64(t.Slots),
 	}
+	p.cost = failingCostMS*t.health.failureRatio() + fullLoadCostMS*p.load
 	p.openIn = max(d.limitWait(t, now), d.closedFor(t, now))
-	p.waitMS = t.backlog(now) / p.tokensPerMS
+	p.waitMS = (t.ownLoad.Backlog + known.Backlog) / p.tokensPerMS
+	p.averageWaitMS = (peers.Backlog - known.Backlog) / p.tokensPerMS
 	if running > 0 {
-		p.freeMemory = float64(d.engineMemory(t.Service))*maxMemoryFraction - t.ownLoad.Memory - t.peerLoad.Memory
+		p.freeMemory = float64(d.engineMemory(t.Service))*maxMemoryFraction - t.ownLoad.Memory - peers.Memory
 	}
 	if t.Zone != d.config.Zone {
 		p.cost += crossZoneCostMS
@@ -133,17 +142,17 @@
 func (d *Dispatcher) candidate(r *Request, t *target) candidate {
 	p := &t.estimate
 	c := candidate{target: t, hasRoom: p.hasSlot}
-	waitMS, prefillMS := 0.0, 0.0
+	waitMS, averageWaitMS, prefillMS := 0.0, 0.0, 0.0
 	if r.TokensIn > 0 {
 		c.cachedTokens = r.cachedTokensAt(t)
-		waitMS = p.waitMS
+		waitMS, averageWaitMS = p.waitMS, p.averageWaitMS
 		prefillMS = prefillCost(r.TokensIn, c.cachedTokens) / p.tokensPerMS
 		if waitMS > maxEngineWaitMS || float64(r.TokensIn+r.TokensOut) > p.freeMemory {
 			c.hasRoom = false
 		}
 	}
-	c.wait = ms(waitMS)
-	c.firstToken = ms(waitMS+prefillMS) + firstTokenOverhead
+	c.wait, c.averageWait = ms(waitMS), ms(averageWaitMS)
+	c.firstToken = ms(waitMS+averageWaitMargin*averageWaitMS+prefillMS) + firstTokenOverhead
 	c.cost = p.cost + waitMS + prefillMS + longPromptCost(r.TokensIn-c.cachedTokens, t.takesLongPrompts)
 	if !c.hasRoom && waitMS <= maxEngineWaitMS {
 		// There is no free slot or memory, and no prediction of when there will be.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -53,7 +53,7 @@
 	queue          []*Request
 	inFlight       map[uint64]*placement
 	usage          *usage
-	peers          map[string]*peer
+	peerLoads      peerLoads
 	quarantine     *quarantine.Tracker
 	// closings holds the closings of targets by their IDs. They outlast views, from which
 	// a target may be missing for a while.
@@ -90,7 +90,7 @@
 		config: config, selfHash: hashName(config.Self), view: &catalog.View{},
 		targets: make(map[string]*target), services: make(map[string][]*target), targetsByShortID: make(map[uint32]*target),
 		leavingNotices: make(map[string]leavingNotice),
-		inFlight:       make(map[uint64]*placement), usage: newUsage(config.ShareWindow), peers: make(map[string]*peer),
+		inFlight:       make(map[uint64]*placement), usage: newUsage(config.ShareWindow), peerLoads: newPeerLoads(),
 		quarantine: quarantine.New(config.Self), closings: make(map[string]closing),
 	}
 }
@@ -203,6 +203,7 @@
 		d.sharesUpdated = now
 		d.usage.computeShares(d.capacity(), now)
 	}
+	d.averageLoads(now)
 	d.round++
 	d.sortQueue(now)
 	var decisions []Decision
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -8,15 +8,6 @@
 	"github.com/zinniaquay/zinniaquay/internal/quarantine"
 )
 
-// peerTimeout is the time without a report after which a peer's load no longer counts.
-const peerTimeout = 5 * time.Second
-
-// peer is the latest report of another router.
-type peer struct {
-	lastReport time.Time
-	loads      map[uint32]Load
-}
-
 // AccountReport is the usage of an account at one router.
 type AccountReport struct {
 	// Account is the hash of the account's name.
@@ -103,44 +94,13 @@
 	if r.Loads == nil {
 		return
 	}
-	d.peers[name] = &peer{lastReport: now, loads: r.Loads}
-	for key := range r.Loads {
-		if t := d.targetsByShortID[key]; t != nil {
-			t.peerReportedAt = now
-		}
-	}
-	d.sumPeerLoads()
+	d.mergeLoads(name, r.Loads, now)
 	d.mergeLimits(r.Limits, now)
 }
 
-// ExpirePeers removes the loads of peers that have sent no report for longer than
-// peerTimeout, and the usage of those that have not reported it for longer than
-// usageTimeout.
+// ExpirePeers removes the loads of peers that have sent no report for too long, and the usage
+// of those that have not reported it for longer than usageTimeout.
 func (d *Dispatcher) ExpirePeers(now time.Time) {
 	d.usage.expirePeers(now)
-	dropped := false
-	for name, p := range d.peers {
-		if now.Sub(p.lastReport) <= peerTimeout {
-			continue
-		}
-		delete(d.peers, name)
-		dropped = true
-	}
-	if dropped {
-		d.sumPeerLoads()
-	}
-}
-
-// sumPeerLoads recomputes the total load of all peers on each target.
-func (d *Dispatcher) sumPeerLoads() {
-	for _, t := range d.targets {
-		t.peerLoad = Load{}
-	}
-	for _, p := range d.peers {
-		for key, load := range p.loads {
-			if t := d.targetsByShortID[key]; t != nil {
-				t.peerLoad = t.peerLoad.plus(load)
-			}
-		}
-	}
+	d.expireLoads(now)
 }
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -12,8 +12,9 @@
 
 // Load is the load that one or more routers put on a target.
 type Load struct {
-	// Running is the number of requests that were sent and have not ended.
-	Running int
+	// Running is the number of requests that were sent and have not ended. Estimates have
+	// fractions.
+	Running float64
 	// Backlog is the number of prompt tokens that were sent and await prefill.
 	Backlog float64
 	// Memory is the largest number of tokens that running requests may hold.
@@ -25,7 +26,11 @@
 }
 
 func (l Load) minus(o Load) Load {
-	return Load{max(0, l.Running-o.Running), math.Max(0, l.Backlog-o.Backlog), math.Max(0, l.Memory-o.Memory)}
+	return Load{math.Max(0, l.Running-o.Running), math.Max(0, l.Backlog-o.Backlog), math.Max(0, l.Memory-o.Memory)}
+}
+
+func (l Load) times(factor float64) Load {
+	return Load{l.Running * factor, l.Backlog * factor, l.Memory * factor}
 }
 
 // target is a router's estimate of the state of one target.
@@ -37,9 +42,10 @@
 	// incarnation identifies this start of the target as evidence on crashes.
 	incarnation uint32
 	// crashedAt is when the target was found to have crashed.
-	crashedAt   time.Time
-	ownLoad     Load
-	peerLoad    Load
+	crashedAt time.Time
+	ownLoad   Load
+	// peerLoad is what peers reported on the target, as far as it still says something.
+	peerLoad    decayingLoad
 	cache       *prefixCache
 	prefillRate prefillRate
 	health      health
@@ -48,8 +54,6 @@
 	// leavingSince is when the target was first heard to say that it is leaving; zero if it
 	// was not.
 	leavingSince time.Time
-	// peerReportedAt is when a peer last reported on the target.
-	peerReportedAt time.Time
 	// takesLongPrompts reports whether the target is marked for long prompts.
 	takesLongPrompts bool
 	// lastFirstToken is when a response with a prefill last started.
@@ -78,20 +82,6 @@
 	}
 }
 
-// backlog returns the estimated number of prompt tokens ahead of a new request.
-// The backlog that peers reported is assumed to shrink at their part of the
-// prefill rate.
-func (t *target) backlog(now time.Time) float64 {
-	peers := t.peerLoad.Backlog
-	if peers > 0 && t.ownLoad.Backlog+peers > 0 {
-		read := t.prefillRate.tokensPerMS() * float64(now.Sub(t.peerReportedAt).Milliseconds()) * peers / (t.ownLoad.Backlog + peers)
-		peers = math.Max(0, peers-read)
-	}
-	return t.ownLoad.Backlog + peers
-}
-
-func (t *target) running() int { return t.ownLoad.Running + t.peerLoad.Running }
-
 // prefillRate estimates the prefill rate of a target, in tokens per ms.
 type prefillRate struct{ value float64 }
 
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -168,7 +168,7 @@
 	report.Loads = make(map[uint32]dispatch.Load, n)
 	for i := range n {
 		report.Loads[loads.GetTarget()[i]] = dispatch.Load{
-			Running: int(loads.GetRunning()[i]),
+			Running: float64(loads.GetRunning()[i]),
 			Backlog: float64(loads.GetBacklog()[i]) * tokensPerUnit,
 			Memory:  float64(loads.GetMemory()[i]) * memoryTokensPerUnit,
 		}
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -28,6 +28,8 @@
 	// process to the next.
 	ReportMS float64 `yaml:"report_ms"`
 	HopMS    float64 `yaml:"hop_ms"`
+	// ReportPeers is the number of gateways that get each report on loads, in turn; 0 for all.
+	ReportPeers int `yaml:"report_peers"`
 	// UsageMS is the pause between reports on the usage of accounts; if it is left out, they
 	// come as often as the exchange's bandwidth allows.
 	UsageMS float64 `yaml:"usage_ms"`
