--- a/internal/changefeed/changefeed.go
+++ b/internal/changefeed/changefeed.go
@@ -42,18 +42,27 @@
 	Changes(ctx context.Context, after platform.Position, wait time.Duration) (directory.PeerChange, error)
 }
 
-// NewServer returns a server for the calls of peers.
-func NewServer(source Source) *http.Server {
+// NewServer returns a server for the calls of peers to a member.
+func NewServer(self string, source Source) *http.Server {
 	mux := http.NewServeMux()
-	mux.Handle(zinniaquayv1connect.NewGatewayServiceHandler(service{source}))
+	mux.Handle(zinniaquayv1connect.NewGatewayServiceHandler(service{self, source}))
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 }
 
 // service implements the RPCs.
-type service struct{ source Source }
+type service struct {
+	self   string
+	source Source
+}
+
+// errOtherMember means that another process has the address of the member that was asked.
+var errOtherMember = errors.New("this is another member")
 
 // Changes implements zinniaquayv1connect.GatewayServiceHandler.
 func (s service) Changes(ctx context.Context, r *zinniaquayv1.ChangesRequest) (*zinniaquayv1.ChangesResponse, error) {
+	if r.GetMember() != s.self {
+		return nil, connect.NewError(connect.CodeUnavailable, fmt.Errorf("%w: %s, not %s", errOtherMember, s.self, r.GetMember()))
+	}
 	change, err := s.source.Changes(ctx, decodePosition(r.GetAfter()), time.Duration(r.GetWaitMs())*time.Millisecond)
 	switch {
 	case errors.Is(err, platform.ErrCompacted):
@@ -97,7 +106,9 @@
 func (c *Client) Changes(ctx context.Context, m catalog.Member, after platform.Position, wait time.Duration) (directory.PeerChange, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+callSlack)
 	defer cancel()
-	r, err := c.peerAt(m.Addr).Changes(ctx, &zinniaquayv1.ChangesRequest{After: encodePosition(after), WaitMs: wait.Milliseconds()})
+	r, err := c.peerAt(m.Addr).Changes(ctx, &zinniaquayv1.ChangesRequest{
+		After: encodePosition(after), WaitMs: wait.Milliseconds(), Member: m.Name,
+	})
 	switch {
 	case connect.CodeOf(err) == connect.CodeOutOfRange:
 		return directory.PeerChange{}, fmt.Errorf("%w: %w", platform.ErrCompacted, err)
--- a/internal/changefeed/changefeed_test.go
+++ b/internal/changefeed/changefeed_test.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := NewServer(source)
+	server := NewServer("edge-1", source)
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(l) }()
 	t.Cleanup(func() {
@@ -119,6 +119,19 @@
 	is.Equal(got.Position.Revision, int64(2))
 }
 
+// Guards against changes of another fleet's store, whose process has the address of a member that
+// is gone.
+func TestAnotherProcessAtTheAddressOfAMemberRefuses(t *testing.T) {
+	is := is.New(t)
+	m := startServer(t, sourceFunc(func(context.Context, platform.Position, time.Duration) (directory.PeerChange, error) {
+		t.Error("the process that was not asked answered")
+		return directory.PeerChange{}, nil
+	}))
+	m.Name = "edge-9"
+	_, err := newTestClient().Changes(t.Context(), m, platform.Position{}, 0)
+	is.True(errors.Is(err, platform.ErrUnavailable))
+}
+
 func TestUnreachablePeerFailsAtOnce(t *testing.T) {
 	is := is.New(t)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -162,7 +162,7 @@
 
 // serveFeed starts the server for peers that take changes of the store from this process.
 func (p *Process) serveFeed(l net.Listener, group *conc.WaitGroup) *http.Server {
-	server := changefeed.NewServer(p.directory)
+	server := changefeed.NewServer(p.self.Name, p.directory)
 	server.ErrorLog = telemetry.StandardLog(p.log)
 	group.Go(func() { p.serve(server, l) })
 	return server
