--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -244,8 +244,10 @@
 // shutdownState tracks the requests in progress and the phases of a shutdown.
 type shutdownState struct {
 	requestsInProgress atomic.Int64
-	startedUnixNano    atomic.Int64
-	refusing           atomic.Bool
+	// requestsBegun counts all requests.
+	requestsBegun   atomic.Int64
+	startedUnixNano atomic.Int64
+	refusing        atomic.Bool
 	// answerByUnixNano is when requests in progress are given up; 0 until the shutdown
 	// begins. ending ends then.
 	answerByUnixNano atomic.Int64
@@ -259,8 +261,24 @@
 	return s
 }
 
-func (s *shutdownState) requestStarted() { s.requestsInProgress.Add(1) }
-func (s *shutdownState) requestEnded()   { s.requestsInProgress.Add(-1) }
+func (s *shutdownState) requestStarted() {
+	s.requestsInProgress.Add(1)
+	s.requestsBegun.Add(1)
+}
+
+func (s *shutdownState) requestEnded() { s.requestsInProgress.Add(-1) }
+
+// activity returns a function that returns the number of requests in progress and of those that
+// have begun since its last call. A refusal is too short to be found in progress.
+func (s *shutdownState) activity() func() int64 {
+	var counted int64
+	return func() int64 {
+		begun := s.requestsBegun.Load()
+		sinceLast := begun - counted
+		counted = begun
+		return s.requestsInProgress.Load() + sinceLast
+	}
+}
 
 // begin marks the start of the shutdown. Requests that are still in progress at answerBy are
 // given up then, so that their callers get an answer.
@@ -303,19 +321,19 @@
 	// given up and answered. A host short of processor time needs most of it.
 	finalAnswerTime = 300 * time.Millisecond
 	// drainPollInterval is the interval between checks for requests in
-	// progress. idlePolls is the number of consecutive checks that find none
-	// before the process ends, so that requests still in transit receive a
-	// refusal. The limit is a number of checks and not a time, since a process
+	// progress. idlePolls is the number of consecutive checks that find none, nor any
+	// that came since the last one, before the process ends, so that requests still in
+	// transit receive a refusal. The limit is a number of checks and not a time, since a process
 	// short of processor time checks late.
 	drainPollInterval = 20 * time.Millisecond
 	idlePolls         = 10
 )
 
-// waitUntilIdle waits until idlePolls consecutive checks find no request in
-// progress, or until pause reports false.
-func waitUntilIdle(pause func() bool, inProgress func() int64) {
+// waitUntilIdle waits until idlePolls consecutive checks find no activity, or until pause
+// reports false.
+func waitUntilIdle(pause func() bool, activity func() int64) {
 	for idle := 0; idle < idlePolls && pause(); idle++ {
-		if inProgress() > 0 {
+		if activity() > 0 {
 			idle = -1
 		}
 	}
@@ -335,7 +353,7 @@
 	defer cancel()
 	wait.For(ctx, time.Duration(acceptFraction*grace))
 	shutdown.refuseRequests()
-	waitUntilIdle(func() bool { return wait.For(ctx, drainPollInterval) }, shutdown.requestsInProgress.Load)
+	waitUntilIdle(func() bool { return wait.For(ctx, drainPollInterval) }, shutdown.activity())
 	if n := shutdown.requestsInProgress.Load(); n > 0 {
 		p.log.Info("requests aborted at the end of the grace period", "in_progress", n)
 	}
