directory: the tests of fleets draw and read under one lock

The race detector found draws from one generator in several goroutines, and a read of the store's items beside a write, in the tests alone.

--- a/internal/directory/fleet_test.go
+++ b/internal/directory/fleet_test.go
@@ -55,6 +55,13 @@
 	s.calls++
 }
 
+// value returns the value of an item; empty if there is none.
+func (s *countingStore) value(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.items[key].Value)
+}
+
 // write writes an item and wakes the watches.
 func (s *countingStore) write(key, value string) {
 	s.put(key, value)
@@ -211,15 +218,17 @@
 	defer cancel()
 	var group sync.WaitGroup
 	for i := range size {
+		delay := time.Duration(rng.IntN(300)) * time.Millisecond
 		group.Go(func() {
-			if wait.For(ctx, time.Duration(rng.IntN(300))*time.Millisecond) {
+			if wait.For(ctx, delay) {
 				f.start(ctx, &group, store, catalog.Member{Name: fmt.Sprintf("edge-%03d", i), Zone: fmt.Sprint(i % zones)}, applyDelay)
 			}
 		})
 	}
 	for i := range size * 8 / 5 {
+		delay := time.Duration(rng.IntN(3000)) * time.Millisecond
 		group.Go(func() {
-			if wait.For(ctx, time.Duration(rng.IntN(3000))*time.Millisecond) {
+			if wait.For(ctx, delay) {
 				store.write(fmt.Sprintf("servers/%d", i), "ready")
 			}
 		})
@@ -364,7 +373,7 @@
 			store.restore(rng.IntN(6))
 			// The operator writes again at once what the store lost.
 			newest := &accepted[len(accepted)-1]
-			if string(store.items["op/config"].Value) != fmt.Sprint(newest.version) {
+			if store.value("op/config") != fmt.Sprint(newest.version) {
 				store.write("op/config", fmt.Sprint(newest.version))
 				newest.at = now()
 			}
