--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -31,6 +32,7 @@
 // result is what a client saw of one request.
 type result struct {
 	attempt string
+	key     string
 	gateway *gateway
 	// kept is set if the channel had carried an answer before.
 	kept       bool
@@ -43,8 +45,10 @@
 // request is what a client sends.
 type request struct {
 	path, attempt, prefix string
-	tokensIn, tokensOut   int
-	deadline              time.Duration
+	// key is the client's key; empty for apiKey.
+	key                 string
+	tokensIn, tokensOut int
+	deadline            time.Duration
 }
 
 // channel is a client's connection to a gateway.
@@ -109,7 +113,7 @@
 	res.kept = ch.answers > 0
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "POST /%s/x HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nCredential: %s\r\n",
-		r.path, host, r.attempt, r.deadline.Milliseconds(), apiKey)
+		r.path, host, r.attempt, r.deadline.Milliseconds(), cmp.Or(r.key, apiKey))
 	if r.prefix != "" {
 		fmt.Fprintf(&head, "Model: m\r\nToken-Usage: %d,%d\r\nPrompt-Prefix: %s\r\n", r.tokensIn, r.tokensOut, r.prefix)
 	}
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -75,12 +76,15 @@
 	storeAddr   string
 	gateways    []*gateway
 	record      *record
-	stopping    atomic.Bool
-	group       sync.WaitGroup
+	// keys are the client's keys in force, and version is that of the configuration.
+	keys     []string
+	version  int
+	stopping atomic.Bool
+	group    sync.WaitGroup
 }
 
 func newFleet(dir, binary string, r *record) (*fleet, error) {
-	f := &fleet{dir: dir, binary: binary, store: standin.NewStore(), record: r}
+	f := &fleet{dir: dir, binary: binary, store: standin.NewStore(), record: r, keys: []string{apiKey}}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -91,16 +95,16 @@
 	return f, nil
 }
 
-// freePorts returns n free loopback ports in a row.
+// Ports of gateways are below those that systems give to outgoing channels, since a gateway
+// that starts again needs the same ones.
+const firstPort, lastPort = 12000, 30000
+
+// freePorts returns the first of n free loopback ports in a row.
 func freePorts(n int) (int, error) {
-	for range 100 {
-		first, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return 0, err
-		}
-		port := first.Addr().(*net.TCPAddr).Port
-		held, free := []net.Listener{first}, true
-		for i := 1; i < n && free; i++ {
+	for range 1000 {
+		port, free := firstPort+rand.IntN(lastPort-firstPort), true
+		var held []net.Listener
+		for i := 0; i < n && free; i++ {
 			l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port+i))
 			free = err == nil
 			if free {
@@ -118,14 +122,17 @@
 }
 
 // addGateway writes the settings of a gateway and starts it.
-func (f *fleet) addGateway(i int) error {
+func (f *fleet) addGateway(i int) error { return f.addGatewayTo(i, f.storeAddr) }
+
+// addGatewayTo is addGateway for a gateway that reaches the store at an address.
+func (f *fleet) addGatewayTo(i int, storeAddr string) error {
 	port, err := freePorts(4)
 	if err != nil {
 		return err
 	}
 	addr := func(n int) string { return fmt.Sprintf("127.0.0.1:%d", port+n) }
 	g := &gateway{name: fmt.Sprintf("edge-%d", i+1), callers: addr(0), ready: addr(1)}
-	text := fmt.Sprintf(settingsText, g.name, zones[i%len(zones)], g.callers, g.ready, port+2, port+3, siteMemoryMB, f.storeAddr)
+	text := fmt.Sprintf(settingsText, g.name, zones[i%len(zones)], g.callers, g.ready, port+2, port+3, siteMemoryMB, storeAddr)
 	path := filepath.Join(f.dir, g.name+".yaml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
@@ -306,7 +313,7 @@
 	deskService  = "crew-desk"
 )
 
-// configure writes the operator's configuration.
+// configure writes the next version of the operator's configuration.
 func (f *fleet) configure() {
 	route := func(name, kind, service string, timeoutMS, aimMS, gapMS int) map[string]any {
 		return map[string]any{
@@ -315,14 +322,15 @@
 			"sticky": service == modelService, "resumable": false, "target_gap_ms": gapMS,
 		}
 	}
+	f.version += 2
 	f.store.Put("op/config", map[string]any{
-		"version": 3,
+		"version": f.version,
 		"routes": []any{
 			route("draft", "streaming", modelService, 12000, 1000, 500),
 			route("swap", "streaming", modelService, 10000, 500, 500),
 			route("book", "non_idempotent", deskService, 3000, 300, 0),
 		},
-		"tenants": []any{map[string]any{"name": "depot", "api_keys": []string{apiKey}}},
+		"tenants": []any{map[string]any{"name": "depot", "api_keys": f.keys}},
 		"services": []any{
 			map[string]any{"name": modelService, "health_path": "/healthz", "max_conns": 370, "cold_s": 0, "cold_per_s": 0,
 				"runtime": map[string]any{"slots": 64, "kv_capacity": 374568}},
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -14,7 +14,7 @@
 // play is a case. trouble is false for the run without the disruption.
 type play func(f *fleet, trouble bool) error
 
-var plays = map[string]play{"memory": playMemory, "crashes": playCrashes}
+var plays = map[string]play{"memory": playMemory, "crashes": playCrashes, "revoke": playRevoke}
 
 func main() {
 	if len(os.Args) != 4 || plays[os.Args[1]] == nil {
