--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -55,13 +55,34 @@
 	if r.TokensIn == 0 || r.Resume {
 		return true
 	}
-	if now.Add(c.firstToken).Sub(r.Arrived) > r.Objective &&
-		(c.wait > d.config.MaxLateBacklog || c.target.estimate.load > d.config.MaxLateLoad) {
+	if d.onlyLate(r, c, now) {
 		return false
 	}
 	return r.order.overShareRatio == 0 || d.admitsOverShare(r, c)
 }
 
+// onlyLate reports whether a request can only be late at a candidate that has other work.
+func (d *Dispatcher) onlyLate(r *Request, c candidate, now time.Time) bool {
+	return now.Add(c.firstToken).Sub(r.Arrived) > r.Objective &&
+		(c.wait > d.config.MaxLateBacklog || c.target.estimate.load > d.config.MaxLateLoad)
+}
+
+// obstacle returns what keeps a request from a candidate.
+func (d *Dispatcher) obstacle(r *Request, c candidate, now time.Time) Obstacle {
+	switch {
+	case !c.hasRoom:
+		return NoRoom
+	case d.onlyLate(r, c, now):
+		return OnlyLate
+	}
+	return OverShare
+}
+
+// overdue returns by how much a request has exceeded its maximum wait.
+func (d *Dispatcher) overdue(r *Request, now time.Time) time.Duration {
+	return max(0, now.Sub(r.Arrived)-d.maxWait(r))
+}
+
 // maySpillOver reports whether a request has waited long enough for its best target
 // to be sent to another one with room.
 func (d *Dispatcher) maySpillOver(r *Request, now time.Time) bool {
@@ -131,7 +152,8 @@
 		return Decision{}, false
 	}
 	soonest, _ := d.untilOpen(r.Service, r.Versions, now)
-	return Decision{Request: r, Action: RefuseLate, PredictedWait: wait, RetryAfter: boundRetryAfter(soonest)}, true
+	return Decision{Request: r, Action: RefuseLate, PredictedWait: wait, RetryAfter: boundRetryAfter(soonest),
+		Obstacle: Unavailable, Overdue: d.overdue(r, now)}, true
 }
 
 // retryAfter returns the Retry-After of a request refused because of load.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -265,7 +265,8 @@
 		return d.place(r, available, now), true
 	}
 	if d.waitExpired(r, best, now) {
-		return Decision{Request: r, Action: RefuseLate, PredictedWait: best.firstToken, RetryAfter: d.retryAfter(best)}, true
+		return Decision{Request: r, Action: RefuseLate, PredictedWait: best.firstToken, RetryAfter: d.retryAfter(best),
+			Obstacle: d.obstacle(r, best, now), Overdue: d.overdue(r, now)}, true
 	}
 	return Decision{}, false
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -180,4 +180,23 @@
 	ShareRatio float64
 	// Part is the ID of the part of the prompt that a request is refused for.
 	Part uint64
+	// Obstacle is what kept a request with RefuseLate from the best target, and Overdue by
+	// how much it had exceeded its maximum wait when it was refused.
+	Obstacle Obstacle
+	Overdue  time.Duration
 }
+
+// Obstacle is what keeps a request from a target.
+type Obstacle string
+
+const (
+	// NoRoom means that the target has no room.
+	NoRoom Obstacle = "no_room"
+	// OnlyLate means that the request could only be late at the target, which has other work.
+	OnlyLate Obstacle = "only_late"
+	// OverShare means that the target has no spare capacity for an account over its share.
+	OverShare Obstacle = "over_share"
+	// Unavailable means that the targets may get no request now by the rates that they name,
+	// or as they are closed.
+	Unavailable Obstacle = "unavailable"
+)
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -25,6 +25,8 @@
 	// admitted is true if the connection was accepted while requests were shed, and its
 	// first request is not to be shed any more.
 	admitted atomic.Bool
+	// kept is true once the connection has carried a request.
+	kept atomic.Bool
 	// closeOnce ensures that the close is counted only once.
 	closeOnce sync.Once
 	limit     *connLimit
@@ -73,7 +75,10 @@
 }
 
 // nextRequest prepares for the next request on the connection.
-func (c *callerConn) nextRequest() { c.headEnded = false }
+func (c *callerConn) nextRequest() {
+	c.headEnded = false
+	c.kept.Store(true)
+}
 
 // connLimit bounds the open connections of callers. Each costs memory, also while it
 // is idle, and a process that exceeds its memory would lose all of them.
@@ -183,6 +188,12 @@
 	return tcp.SetLinger(0)
 }
 
+// isOnKeptConnection reports whether the connection of a context has carried requests before.
+func isOnKeptConnection(ctx context.Context) bool {
+	c, ok := ctx.Value(connContextKey).(*callerConn)
+	return ok && c.kept.Load()
+}
+
 // admittedWhenAccepted reports whether the request of a context is the first of a connection
 // that was accepted although requests were shed.
 func admittedWhenAccepted(ctx context.Context) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,8 +49,10 @@
 
 // requestMetrics are the gateway's metrics.
 type requestMetrics struct {
-	registry  metrics.Registry
-	requests  metrics.Counter
+	registry metrics.Registry
+	requests metrics.Counter
+	// kept counts the requests on connections that have carried others before.
+	kept      metrics.Counter
 	firstByte metrics.Histogram
 	queued    metrics.Histogram
 	resumed   metrics.Counter
@@ -84,6 +86,7 @@
 	return requestMetrics{
 		registry:  r,
 		requests:  metrics.GetOrRegisterCounter(telemetry.Name("requests_total"), r),
+		kept:      metrics.GetOrRegisterCounter(telemetry.Name("requests_on_kept_connections_total"), r),
 		firstByte: histogram("first_byte_milliseconds"),
 		queued:    histogram("queued_milliseconds"),
 		resumed:   metrics.GetOrRegisterCounter(telemetry.Name("streams_resumed_total"), r),
@@ -180,6 +183,9 @@
 	x := &call{w: w, r: r, ctx: r.Context(), started: time.Now(), tried: make(map[string]bool)}
 	g.shutdown.requestStarted()
 	defer g.shutdown.requestEnded()
+	if isOnKeptConnection(x.r.Context()) {
+		g.requestMetrics.kept.Inc(1)
+	}
 	if g.shutdown.begun() || !g.shedder.ready() || !g.connLimit.keepsAlive() {
 		// The caller opens a new connection for its next request, to another process
 		// if this one is not ready.
--- a/internal/gateway/overloadlog.go
+++ b/internal/gateway/overloadlog.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/zinniaquay/zinniaquay/internal/dispatch"
 	"github.com/zinniaquay/zinniaquay/internal/telemetry"
 	"github.com/zinniaquay/zinniaquay/internal/wait"
@@ -16,25 +19,43 @@
 	maxLoggedAccounts = 3
 )
 
-// logOverload logs what the process turned away without reading it, and which
-// accounts receive much less than they request.
+// turnedAway counts what a process turned away without reading it.
+type turnedAway struct{ shed, disconnected, closed int64 }
+
+// logOverload logs what the process turned away without reading it, what it does while it
+// takes no new connections, and which accounts receive much less than they request.
 func (p *Process) logOverload(ctx context.Context) {
-	shedder, conns := p.gateway.shedder, p.gateway.connLimit
-	var shed, disconnected, closed int64
+	shedder, conns, counts := p.gateway.shedder, p.gateway.connLimit, p.gateway.requestMetrics
+	var before turnedAway
+	var requestsBefore, keptBefore int64
+	processorBefore := processorTime(p.log)
 	for wait.For(ctx, overloadLogInterval) {
-		shedBefore, disconnectedBefore, closedBefore := shed, disconnected, closed
-		shed, disconnected, closed = shedder.shed.Count(), shedder.disconnected.Count(), conns.closedUnread.Count()
-		open := conns.open.Load()
+		now := turnedAway{shedder.shed.Count(), shedder.disconnected.Count(), conns.closedUnread.Count()}
+		requests, kept, processor := counts.requests.Count(), counts.kept.Count(), processorTime(p.log)
+		open, ready := conns.open.Load(), shedder.ready()
 		conns.openGauge.Update(open)
-		if shed > shedBefore || disconnected > disconnectedBefore || closed > closedBefore {
-			p.log.Info("requests turned away unread", "shed", shed-shedBefore, "disconnected", disconnected-disconnectedBefore,
-				"connections_closed", closed-closedBefore, "connections_open", open, "connections_max", conns.max,
-				"lag_ms", shedder.lagGauge.Value(), "ready", shedder.ready())
+		if now != before || !ready {
+			p.log.Info("requests turned away unread", "shed", now.shed-before.shed, "disconnected", now.disconnected-before.disconnected,
+				"connections_closed", now.closed-before.closed, "connections_open", open, "connections_max", conns.max,
+				"lag_ms", shedder.lagGauge.Value(), "ready", ready, "requests", requests-requestsBefore,
+				"on_kept_connections", kept-keptBefore, "processor_ms", (processor - processorBefore).Milliseconds())
 		}
+		before, requestsBefore, keptBefore, processorBefore = now, requests, kept, processor
 		p.logUnderserved()
 	}
 }
 
+// processorTime returns the processor time that the process has used; 0 if the system doesn't
+// tell.
+func processorTime(log logr.Logger) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		log.V(1).Info("processor time is unknown", "cause", err.Error())
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 func (p *Process) logUnderserved() {
 	underserved := p.gateway.scheduler.underserved(maxLoggedAccounts)
 	if len(underserved) == 0 {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -52,7 +52,7 @@
 		g.log.Info("request refused", telemetry.KeyRequest, x.attempt.ID, "verdict", int(decision.Action),
 			"waited_ms", waited.Milliseconds(), "predicted_ms", decision.PredictedWait.Milliseconds(), "queued", decision.Queued,
 			telemetry.KeyAccount, x.account.Name, "size", decision.Request.Size(), "over_share", decision.ShareRatio,
-			"blocked_part", fmt.Sprintf("%x", decision.Part))
+			"obstacle", decision.Obstacle, "overdue_ms", decision.Overdue.Milliseconds(), "blocked_part", fmt.Sprintf("%x", decision.Part))
 		return decision, refusalOf(x, decision)
 	}
 	g.log.Info("request placed", telemetry.KeyRequest, x.attempt.ID, "target", decision.Target, "version", versions.Only,
