--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -137,22 +138,47 @@
 	limit *connLimit
 	// onClosedUnread is called for each connection that is closed at the limit.
 	onClosedUnread func()
-	// takeShed takes connections whose first request is shed; nil if none is.
-	takeShed func(*callerConn) bool
+	// shedder accepts connections while requests are shed; nil if none is shed before it is
+	// read.
+	shedder *connShedder
+}
+
+// listenForCallers listens for connections of callers of a gateway.
+func listenForCallers(ctx context.Context, g *Gateway, addr string) (*callerListener, error) {
+	// Idle connections of callers end before TCP would find them dead.
+	l, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	shedder, err := newConnShedder(g, l.(*net.TCPListener))
+	if err != nil {
+		return nil, errors.Join(err, l.Close())
+	}
+	return &callerListener{Listener: l, limit: g.connLimit, onClosedUnread: g.shedder.connClosedUnread, shedder: shedder}, nil
+}
+
+// Close implements net.Listener.
+func (l *callerListener) Close() error {
+	if l.shedder == nil {
+		return l.Listener.Close()
+	}
+	return errors.Join(l.Listener.Close(), l.shedder.close())
 }
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
 	for {
-		conn, err := l.Listener.Accept()
+		accept, shedding := l.Listener.Accept, l.shedder != nil && l.shedder.active()
+		if shedding {
+			accept = l.shedder.accept
+		}
+		conn, err := accept()
 		if err != nil {
 			return nil, err
 		}
 		if l.limit.acquire() {
 			caller := &callerConn{Conn: conn, limit: l.limit}
-			if l.takeShed != nil && l.takeShed(caller) {
-				continue
-			}
+			caller.admitted.Store(shedding)
 			return caller, nil
 		}
 		l.onClosedUnread()
--- a/internal/gateway/connshed_test.go
+++ b/internal/gateway/connshed_test.go
@@ -32,10 +32,9 @@
 	codec := fixedCodec{attempt: Attempt{ID: "1", APIKey: "key", TokensIn: 1000, TokensOut: 100}}
 	g := New(Settings{MemoryBytes: 1 << 30, MaxDescriptors: 1000, Bounds: Bounds{ShareWindow: time.Hour}}, codec, fixedView{view}, metrics.NewRegistry(), logr.Discard())
 	g.shedder.shedPermille.Store(permille)
-	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := listenForCallers(t.Context(), g, "127.0.0.1:0")
 	is.NoErr(err)
-	f := &shedFixture{gateway: g, addr: inner.Addr().String(), passed: make(chan *callerConn, 100)}
-	l := &callerListener{Listener: inner, limit: g.connLimit, onClosedUnread: func() {}, takeShed: newConnShedder(g).take}
+	f := &shedFixture{gateway: g, addr: l.Addr().String(), passed: make(chan *callerConn, 100)}
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -45,13 +44,13 @@
 			f.passed <- conn.(*callerConn)
 		}
 	}()
-	t.Cleanup(func() { is.NoErr(inner.Close()) })
+	t.Cleanup(func() { is.NoErr(l.Close()) })
 	return f
 }
 
 // requestOf returns a request with a body of so many bytes.
 func requestOf(bytes int) string {
-	return fmt.Sprintf("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", bytes, strings.Repeat("b", bytes))
+	return fmt.Sprintf("POST /x HTTP/1.1\r\nHost: h\r\nRequest: 1\r\nContent-Length: %d\r\n\r\n%s", bytes, strings.Repeat("b", bytes))
 }
 
 // send writes the pieces of a request with pauses between them, and returns the response.
@@ -86,8 +85,8 @@
 		"head cut":       {whole[:20], whole[20:]},
 		"body cut":       {whole[:len(whole)-3], whole[len(whole)-3:]},
 		"large body":     {requestOf(10 * maxShedHeadBytes)},
-		"in chunks":      {"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n0\r\n\r\n"},
-		"without a body": {"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"},
+		"in chunks":      {"POST /x HTTP/1.1\r\nHost: h\r\nRequest: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n0\r\n\r\n"},
+		"without a body": {"GET /x HTTP/1.1\r\nHost: h\r\nRequest: 1\r\n\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is, f := is.New(t), startShedding(t, 1000)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,8 +104,11 @@
 }
 
 // countEnd counts a request by its outcome.
-func (c *requestMetrics) countEnd(outcome string) {
-	metrics.GetOrRegisterCounter(telemetry.Name("requests_ended_total", "outcome", outcome), c.registry).Inc(1)
+func (c *requestMetrics) countEnd(outcome string) { c.ended(outcome).Inc(1) }
+
+// ended returns the counter of the requests with an outcome.
+func (c *requestMetrics) ended(outcome string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(telemetry.Name("requests_ended_total", "outcome", outcome), c.registry)
 }
 
 // New returns a gateway.
@@ -224,22 +227,24 @@
 
 // refuseShed returns the refusal of a request that the process lacks processor time for.
 func (g *Gateway) refuseShed(x *call) error {
-	g.shedder.shed.Inc(1)
-	x.attempt.ID = g.codec.RequestID(x.r.Header)
-	if g.shedder.shed.Count()%shedSampling == 0 {
-		g.recordShed(x)
+	x.attempt.ID = x.r.Header.Get(g.codec.RequestIDHeader())
+	if g.shedder.countShed() {
+		g.recordShed(x.r.Header)
 	}
-	return &refusal{errkind.New(errkind.QueueFull, "the process has too much to do"), retryAfterShed}
+	return errShed
 }
 
+// errShed refuses a request that the process lacks processor time for.
+var errShed = &refusal{errkind.New(errkind.QueueFull, "the process has too much to do"), retryAfterShed}
+
 // shedSampling is the number of requests that are shed for each one whose account and size
 // are counted. The host is short of processor time then.
 const shedSampling = 8
 
 // recordShed counts requests that are shed as requested by their account. Otherwise an
 // account whose host is short of processor time would look like one that requests little.
-func (g *Gateway) recordShed(x *call) {
-	attempt, err := g.codec.DecodeRequest(x.r.Header)
+func (g *Gateway) recordShed(h http.Header) {
+	attempt, err := g.codec.DecodeRequest(h)
 	config := g.views.View().Config
 	if err != nil || config == nil {
 		return // the request would have been refused in any case
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -73,8 +73,9 @@
 type HeaderCodec interface {
 	// DecodeRequest decodes the headers of a caller's request.
 	DecodeRequest(h http.Header) (Attempt, error)
-	// RequestID decodes only the ID of a caller's request.
-	RequestID(h http.Header) string
+	// RequestIDHeader returns the name of the header with the ID of a caller's request, and of
+	// the response to it.
+	RequestIDHeader() string
 	// TargetHeaders returns the headers of the request to a target.
 	TargetHeaders(from http.Header, o ForwardedRequest) http.Header
 	// DecodeResponse decodes the headers of a target's response.
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -162,6 +162,13 @@
 	o.disconnected.Inc(1)
 }
 
+// countShed counts a request that is shed, and reports whether its account and size are to be
+// counted as well.
+func (o *loadShedder) countShed() bool {
+	o.shed.Inc(1)
+	return o.shed.Count()%shedSampling == 0
+}
+
 // shouldShed reports whether the next request is to be refused.
 func (o *loadShedder) shouldShed() bool {
 	permille := o.shedPermille.Load()
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -79,8 +79,7 @@
 
 // Run serves until the context ends, then shuts down gracefully.
 func (p *Process) Run(ctx context.Context) error {
-	// Idle connections of callers end before TCP would find them dead.
-	callerListener, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp4", p.settings.CallerAddr)
+	callers, err := listenForCallers(ctx, p.gateway, p.settings.CallerAddr)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
@@ -112,7 +111,7 @@
 	}
 	group.Go(func() { p.directory.Register(taskCtx, p.self) })
 	auxServers := []*http.Server{p.serveReady(readyListener, &group), p.serveMetrics(metricsListener, &group), p.serveFeed(feedListener, &group)}
-	callerServer := p.serveCallers(callerListener, &group)
+	callerServer := p.serveCallers(callers, &group)
 
 	<-ctx.Done()
 	p.stop(callerServer)
@@ -126,15 +125,13 @@
 }
 
 // serveCallers starts the server for callers' requests.
-func (p *Process) serveCallers(l net.Listener, group *conc.WaitGroup) *http.Server {
+func (p *Process) serveCallers(l *callerListener, group *conc.WaitGroup) *http.Server {
 	server := &http.Server{
 		Handler: p.gateway, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ConnContext: connContext, ConnState: connState,
 		ErrorLog: telemetry.StandardLog(p.log),
 	}
-	listener := &callerListener{Listener: l, limit: p.gateway.connLimit, onClosedUnread: p.gateway.shedder.connClosedUnread,
-		takeShed: newConnShedder(p.gateway).take}
-	group.Go(func() { p.serve(server, listener) })
+	group.Go(func() { p.serve(server, l) })
 	return server
 }
 
--- a/internal/gateway/shed_test.go
+++ b/internal/gateway/shed_test.go
@@ -21,7 +21,7 @@
 }
 
 func (c fixedCodec) DecodeRequest(http.Header) (Attempt, error) { return c.attempt, nil }
-func (c fixedCodec) RequestID(http.Header) string               { return c.attempt.ID }
+func (c fixedCodec) RequestIDHeader() string                    { return "Request" }
 func (c fixedCodec) SetOwnHeaders(h http.Header, id string)     { h.Set("Request", id) }
 
 // Guards against shares that leave out requests shed for lack of processor time.
