--- a/internal/dispatch/usage.go
+++ b/internal/dispatch/usage.go
@@ -15,10 +15,13 @@
 	// accounts holds all recently active accounts of the fleet by the hash of their
 	// names, which also identifies them in peer reports.
 	accounts map[uint32]*accountUsage
+	// peers is the number of routers of the fleet beside this one.
+	peers int
 	// reportedAt holds as of when each source last reported the usage of accounts.
 	reportedAt map[usageSource]time.Time
-	// minCompetingRatio is the lowest ratio of all accounts that are over their
-	// share and requested more than they received; 0 if there is none.
+	// minCompetingRatio is the lowest ratio of all accounts that requested more than their share
+	// and more than they received; 0 if there is none. Hosts of low capacity keep some of them
+	// below their share.
 	minCompetingRatio float64
 }
 
@@ -38,6 +41,8 @@
 	meanSize                        float64
 	// byPeer holds the usage that each source reported.
 	byPeer map[usageSource]peerUsage
+	// spread is the fraction of the peers that have the account; 1 if that can't be told.
+	spread float64
 	// share is the account's max-min share in tokens, or 0 if the account requested
 	// nothing.
 	share float64
@@ -218,9 +223,12 @@
 	age /= time.Duration(len(a.byPeer))
 	requestedBefore, receivedBefore := a.requestedBefore.valueAt(age), a.receivedBefore.valueAt(age)
 	noise := growthNoiseRequests * a.meanSize
-	// An account that had much less here than at an average peer has only come to this
-	// router since, so its growth here says nothing about its peers.
+	// An account that had much less here than at an average peer, or that few peers have, has
+	// only come to this router since, so its growth here says nothing about its peers.
 	similarity := math.Min(1, (requestedBefore+noise)*float64(peers.routers)/math.Max(peers.requested, 1))
+	if a.spread < minSpread {
+		similarity = 0
+	}
 	// Its callers have left the peers then, which give it less than they reported.
 	moved := (1 - similarity) * math.Min(1, math.Max(0, requested-requestedBefore-noise)/math.Max(peers.requested, 1))
 	peers.received *= 1 - moved*(1-math.Exp(-age.Seconds()/timeConstant.Seconds()))
@@ -230,6 +238,12 @@
 }
 
 const (
+	// minSpread is the fraction of routers below which an account counts as one whose callers
+	// reach only some of them, and move between these together.
+	minSpread = 0.5
+	// reportedPartMargin is the ratio to the smallest usage that is reported above which nearly
+	// all routers with an equal part of an account's usage report it.
+	reportedPartMargin = 2
 	// growthNoiseRequests is the number of requests of mean size that may make up a
 	// growth at one router by chance.
 	growthNoiseRequests = 2
@@ -258,6 +272,7 @@
 	total := 0.0
 	for hash, a := range u.accounts {
 		a.sample(now, u.timeConstant)
+		a.spread = a.spreadOver(u.peers)
 		requested, received := a.totals(now, u.timeConstant)
 		a.ratio, a.demandRatio, a.share = 0, 0, 0
 		if requested < 1 {
@@ -288,6 +303,20 @@
 	}
 }
 
+// spreadOver returns the fraction of all peers that have the account, as reported. It returns 1
+// if most of them would not have reported an equal part of its usage either.
+func (a *accountUsage) spreadOver(peers int) float64 {
+	reporting, requested := 0, 0.0
+	for _, p := range a.byPeer {
+		reporting += p.routers
+		requested += p.requested
+	}
+	if peers == 0 || !a.isReported(requested/float64(peers)/reportedPartMargin, 0) {
+		return 1
+	}
+	return float64(reporting) / float64(peers)
+}
+
 // AccountStatus is what a router believes of one account.
 type AccountStatus struct {
 	// Account is the hash of the account's name.
