--- a/internal/dispatch/usage.go
+++ b/internal/dispatch/usage.go
@@ -19,9 +19,8 @@
 	peers int
 	// reportedAt holds as of when each source last reported the usage of accounts.
 	reportedAt map[usageSource]time.Time
-	// minCompetingRatio is the lowest ratio of all accounts that requested more than their share
-	// and more than they received; 0 if there is none. Hosts of low capacity keep some of them
-	// below their share.
+	// minCompetingRatio is the lowest ratio of all accounts that are over their
+	// share and requested more than they received; 0 if there is none.
 	minCompetingRatio float64
 }
 
@@ -270,9 +269,10 @@
 	}
 	demands := make([]demand, 0, len(u.accounts))
 	total := 0.0
+	zonePeers := u.zonePeers()
 	for hash, a := range u.accounts {
 		a.sample(now, u.timeConstant)
-		a.spread = a.spreadOver(u.peers)
+		a.spread = a.spreadOver(zonePeers, u.peers)
 		requested, received := a.totals(now, u.timeConstant)
 		a.ratio, a.demandRatio, a.share = 0, 0, 0
 		if requested < 1 {
@@ -303,18 +303,37 @@
 	}
 }
 
-// spreadOver returns the fraction of all peers that have the account, as reported. It returns 1
-// if most of them would not have reported an equal part of its usage either.
-func (a *accountUsage) spreadOver(peers int) float64 {
-	reporting, requested := 0, 0.0
-	for _, p := range a.byPeer {
-		reporting += p.routers
-		requested += p.requested
+// zonePeers returns the number of routers of the own availability zone with a recent report.
+func (u *usage) zonePeers() int {
+	n := 0
+	for source := range u.reportedAt {
+		if source.router != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// spreadOver returns the fraction of the peers that have the account, as reported: of those in
+// the own availability zone, or of all in the fleet if that is less.
+func (a *accountUsage) spreadOver(zonePeers, peers int) float64 {
+	var inZone, inFleet peerUsage
+	for source, p := range a.byPeer {
+		inFleet.requested, inFleet.routers = inFleet.requested+p.requested, inFleet.routers+p.routers
+		if source.router != "" {
+			inZone.requested, inZone.routers = inZone.requested+p.requested, inZone.routers+p.routers
+		}
 	}
-	if peers == 0 || !a.isReported(requested/float64(peers)/reportedPartMargin, 0) {
+	return math.Min(a.spreadOf(inZone, zonePeers), a.spreadOf(inFleet, peers))
+}
+
+// spreadOf returns the fraction of peers that have the account, given what they reported
+// together. It returns 1 if most of them would not have reported an equal part of it either.
+func (a *accountUsage) spreadOf(reported peerUsage, peers int) float64 {
+	if peers == 0 || !a.isReported(reported.requested/float64(peers)/reportedPartMargin, 0) {
 		return 1
 	}
-	return float64(reporting) / float64(peers)
+	return float64(reported.routers) / float64(peers)
 }
 
 // AccountStatus is what a router believes of one account.
