--- a/internal/dispatch/usage.go
+++ b/internal/dispatch/usage.go
@@ -19,8 +19,9 @@
 	peers int
 	// reportedAt holds as of when each source last reported the usage of accounts.
 	reportedAt map[usageSource]time.Time
-	// minCompetingRatio is the lowest ratio of all accounts that are over their
-	// share and requested more than they received; 0 if there is none.
+	// minCompetingRatio is the lowest ratio of all accounts that requested more than their share
+	// and more than they received; 0 if there is none. Hosts of low capacity keep some of them
+	// below their share.
 	minCompetingRatio float64
 }
 
@@ -295,7 +296,7 @@
 		d.account.share = share
 		if d.requested > share {
 			d.account.ratio, d.account.demandRatio = d.received/math.Max(share, 1), d.requested/math.Max(share, 1)
-			if d.account.ratio > shareSlack && d.requested > d.received && (u.minCompetingRatio == 0 || d.account.ratio < u.minCompetingRatio) {
+			if d.account.ratio > 0 && d.requested > d.received && (u.minCompetingRatio == 0 || d.account.ratio < u.minCompetingRatio) {
 				u.minCompetingRatio = d.account.ratio
 			}
 		}
--- a/internal/dispatch/usage_test.go
+++ b/internal/dispatch/usage_test.go
@@ -80,6 +80,23 @@
 	is.Equal(decideOne(t, d, promptRequest(d, "slow", 2, 100, 100, now), now).Action, Send)
 }
 
+// Guards against one account taking all the spare capacity while hosts of low capacity keep
+// another one, which asks for more, below its share.
+func TestAccountFarOverItsShareWaitsForOneBelowItsShare(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	d := testDispatcher("edge-0", testView(4, 1))
+	capacity := 290000 * d.usage.timeConstant.Seconds()
+	for _, account := range []string{"slow", "fast"} {
+		d.usage.addRequested(d.usage.account(account), 10*capacity, now)
+	}
+	d.usage.addReceived("slow", 0.3*capacity, now) // 0.6 times its share
+	d.usage.addReceived("fast", 0.9*capacity, now) // 1.8 times
+	is.True(d.Enqueue(promptRequest(d, "fast", 1, 100, 100, now), now))
+	is.Equal(len(d.Decide(now)), 0)
+	is.Equal(decideOne(t, d, promptRequest(d, "slow", 2, 100, 100, now), now).Action, Send)
+}
+
 // Guards against routers that each place requests of one account on a target which all
 // of them still see idle, such as one that has just joined.
 func TestRoutersDoNotAllTakeTheSameSpareCapacity(t *testing.T) {
