--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -17,6 +17,9 @@
 	// bodyMemoryDivisor divides the memory of the process; the result bounds
 	// the memory of request bodies.
 	bodyMemoryDivisor = 4
+	// responseMemoryDivisor divides the memory of the process; the result bounds the memory
+	// of targets' responses.
+	responseMemoryDivisor = 8
 	// defaultMaxBodyBytes bounds a body until a configuration sets a limit.
 	defaultMaxBodyBytes = 4 << 20
 	// revocationMargin is subtracted from MaxRevocationDelay: it is the time
--- a/internal/gateway/alive.go
+++ b/internal/gateway/alive.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -169,10 +170,11 @@
 		return reportResponse{}, fmt.Errorf("the response belongs to request %s", id)
 	}
 	g.observeClosing(p, head, sentAt)
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	parts, err := conn.ReadBody(resp, maxReportBytes)
 	if err != nil {
 		return reportResponse{}, fmt.Errorf("read report: %w", err)
 	}
+	body := bytes.Join(parts, nil)
 	g.releaseConn(conn, resp, nil)
 	return reportResponse{resp.StatusCode, head, body}, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,7 +121,7 @@
 	g := &Gateway{
 		settings: s, codec: codec, views: views, log: log,
 		scheduler:         scheduler,
-		pool:              upstream.NewPool(registry),
+		pool:              upstream.NewPool(s.MemoryBytes/responseMemoryDivisor, registry),
 		shutdown:          newShutdownState(),
 		retries:           newRetryBudgets(s.Bounds),
 		moveTracker:       newMoveTracker(s.Name, s.Bounds.ExposureFraction),
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -60,7 +60,7 @@
 		return dispatch.Unreachable, &sendError{
 			failure: errkind.Wrap(notRunKind(x), errors.Join(errNotSent, err), "the target can't be reached"), notRun: true, notSent: true}
 	}
-	stop := context.AfterFunc(x.ctx, conn.Discard)
+	stop := context.AfterFunc(x.ctx, conn.Abort)
 	defer stop()
 	outcome, err := g.transfer(x, d, conn)
 	if err == nil {
@@ -259,7 +259,7 @@
 		if resp.StatusCode < http.StatusMultipleChoices {
 			g.scheduler.responseStarted(d.Request.Sequence)
 		}
-		err = g.relayBuffered(x, d, resp)
+		err = g.relayBuffered(x, d, conn, resp)
 	}
 	if err != nil {
 		return dispatch.Failed, err
@@ -268,23 +268,17 @@
 	return outcome, nil
 }
 
-// errResponseTooLarge means that a response that is not a stream exceeds
-// maxResponseBytes.
-var errResponseTooLarge = fmt.Errorf("the response exceeds %d bytes", maxResponseBytes)
-
 // relayBuffered reads a complete response and relays it.
-func (g *Gateway) relayBuffered(x *call, d dispatch.Decision, resp *http.Response) error {
-	if resp.ContentLength > maxResponseBytes {
-		return transferError(x, errResponseTooLarge, "read the whole answer")
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+func (g *Gateway) relayBuffered(x *call, d dispatch.Decision, conn *upstream.Conn, resp *http.Response) error {
+	body, err := conn.ReadBody(resp, maxResponseBytes)
 	if err != nil {
 		return transferError(x, err, "read the whole answer")
 	}
-	if len(body) > maxResponseBytes {
-		return transferError(x, errResponseTooLarge, "read the whole answer")
+	length := 0
+	for _, part := range body {
+		length += len(part)
 	}
-	if err := g.confirmEnd(x, d, resp, len(body) > 0); err != nil {
+	if err := g.confirmEnd(x, d, resp, length > 0); err != nil {
 		return transferError(x, err, "read the whole answer")
 	}
 	g.requestMetrics.firstByte.Update(time.Since(x.started).Milliseconds())
@@ -294,13 +288,15 @@
 	for name, values := range g.codec.CallerHeaders(resp.Header) {
 		h[name] = values
 	}
-	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set("Content-Length", strconv.Itoa(length))
 	x.w.WriteHeader(resp.StatusCode)
 	if x.r.Method == http.MethodHead {
 		return nil
 	}
-	if _, err := x.w.Write(body); err != nil {
-		return errkind.Wrap(errkind.Canceled, err, "the caller disconnected before its response")
+	for _, part := range body {
+		if _, err := x.w.Write(part); err != nil {
+			return errkind.Wrap(errkind.Canceled, err, "the caller disconnected before its response")
+		}
 	}
 	return nil
 }
@@ -310,7 +306,7 @@
 func skipBody(resp *http.Response) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err == nil && n > maxResponseBytes {
-		return errResponseTooLarge
+		return upstream.ErrResponseTooLarge
 	}
 	return err
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -61,6 +61,7 @@
 // Pool holds the idle connections to all targets. It is safe for concurrent use.
 type Pool struct {
 	dialer net.Dialer
+	memory *responseMemory
 	opened metrics.Counter
 	reused metrics.Counter
 
@@ -75,9 +76,11 @@
 	anonymousUntil map[string]time.Time
 }
 
-// NewPool returns an empty pool.
-func NewPool(registry metrics.Registry) *Pool {
+// NewPool returns an empty pool. The responses that are read on its connections at the same
+// time hold at most responseBytes.
+func NewPool(responseBytes int64, registry metrics.Registry) *Pool {
 	return &Pool{
+		memory: newResponseMemory(responseBytes, registry),
 		dialer: net.Dialer{
 			Timeout:         dialTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2},
@@ -100,6 +103,8 @@
 	reader   *bufio.Reader
 	// limiter bounds what reader reads while it reads a header.
 	limiter *headLimiter
+	// reservation is the memory that the response holds.
+	reservation *reservation
 	// idleSince is when the connection was last put back, and idleUntil the time
 	// from which it must not be reused.
 	idleSince, idleUntil time.Time
@@ -212,8 +217,11 @@
 		return nil, fmt.Errorf("%w to %s: %w", ErrDial, addr, err)
 	}
 	p.opened.Inc(1)
-	limiter := &headLimiter{conn: conn}
-	return &Conn{Conn: conn, addr: addr, openedAt: time.Now(), reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter}, nil
+	c := &Conn{Conn: conn, addr: addr, openedAt: time.Now()}
+	c.reservation = &reservation{memory: p.memory, conn: c}
+	c.limiter = &headLimiter{conn: conn, reservation: c.reservation}
+	c.reader = bufio.NewReaderSize(c.limiter, readBufferBytes)
+	return c, nil
 }
 
 // IdleOpenedBefore takes a witness or an idle connection to addr that was opened before a
@@ -255,9 +263,10 @@
 	return nil
 }
 
-// Put returns a connection to the pool. The response must have been read to its
-// end; keepAlive is its Keep-Alive header.
+// Put returns a connection to the pool, and gives back the memory that its response held.
+// The response must have been read to its end; keepAlive is its Keep-Alive header.
 func (p *Pool) Put(c *Conn, keepAlive string) {
+	c.reservation.release()
 	if c.reader.Buffered() > 0 {
 		// Bytes after a complete response belong to no request.
 		c.Discard()
@@ -324,8 +333,15 @@
 	return maxIdle
 }
 
-// Discard closes a connection that must not be reused.
+// Discard closes a connection that must not be reused, and gives back the memory that its
+// response held. Only the user of the connection may call it.
 func (c *Conn) Discard() {
+	c.Abort()
+	c.reservation.release()
+}
+
+// Abort closes a connection, so that its user's reads and writes fail.
+func (c *Conn) Abort() {
 	// The connection is unusable whether or not closing it fails.
 	_ = c.Close()
 }
@@ -335,11 +351,12 @@
 var errHeadTooLarge = fmt.Errorf("the response header exceeds %d bytes", maxHeadBytes)
 
 // headLimiter reads from a connection, and fails after a number of bytes while it is
-// limited.
+// limited. What does not fit into the read buffer counts as held by the response.
 type headLimiter struct {
-	conn      net.Conn
-	limited   bool
-	remaining int
+	conn        net.Conn
+	reservation *reservation
+	limited     bool
+	remaining   int
 }
 
 // Read implements io.Reader.
@@ -352,7 +369,15 @@
 	}
 	n, err := l.conn.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
-	return n, err
+	if err != nil {
+		return n, l.reservation.cause(err)
+	}
+	if l.remaining < maxHeadBytes-readBufferBytes {
+		if err := l.reservation.reserve(int64(n)); err != nil {
+			return 0, err
+		}
+	}
+	return n, nil
 }
 
 // ReadResponse reads the head of the response to a request with the given method.
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -82,7 +82,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			p := NewPool(metrics.NewRegistry())
+			p := NewPool(testResponseBytes, metrics.NewRegistry())
 			addr := listen(t, respondWith(c.response))
 			first, err := p.Get(context.Background(), addr, true)
 			is.NoErr(err)
@@ -100,7 +100,7 @@
 
 func TestClosedConnectionIsNotReused(t *testing.T) {
 	is := is.New(t)
-	p := NewPool(metrics.NewRegistry())
+	p := NewPool(testResponseBytes, metrics.NewRegistry())
 	closed := make(chan struct{})
 	addr := listen(t, func(conn net.Conn) {
 		buf := make([]byte, 4096)
@@ -124,7 +124,7 @@
 
 func TestSweepClosesConnectionsToUnusedAddresses(t *testing.T) {
 	is := is.New(t)
-	p := NewPool(metrics.NewRegistry())
+	p := NewPool(testResponseBytes, metrics.NewRegistry())
 	addr := listen(t, respondWith(emptyResponse))
 	for _, inUse := range []bool{true, false} {
 		c, err := p.Get(context.Background(), addr, false)
@@ -141,7 +141,7 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
 	is.NoErr(l.Close())
-	_, err = NewPool(metrics.NewRegistry()).Get(context.Background(), l.Addr().String(), false)
+	_, err = NewPool(testResponseBytes, metrics.NewRegistry()).Get(context.Background(), l.Addr().String(), false)
 	is.True(errors.Is(err, ErrDial))
 }
 
@@ -153,7 +153,7 @@
 		_, _ = conn.Read(make([]byte, 100))
 		_, _ = conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n" + emptyResponse))
 	})
-	p := NewPool(metrics.NewRegistry())
+	p := NewPool(testResponseBytes, metrics.NewRegistry())
 	c, err := p.Get(context.Background(), addr, false)
 	is.NoErr(err)
 	finished, err := c.Send(&Request{Method: http.MethodPost, URI: "/x", Host: "h", Body: []byte(strings.Repeat("x", 64<<20))})
@@ -173,7 +173,7 @@
 
 func TestARefusedConnectionIsToldFromOneThatIsAccepted(t *testing.T) {
 	is := is.New(t)
-	pool := NewPool(metrics.NewRegistry())
+	pool := NewPool(testResponseBytes, metrics.NewRegistry())
 	addr := listen(t, respondWith("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
 	is.True(!pool.Refuses(t.Context(), addr))
 	is.True(!pool.Refuses(t.Context(), addr))
@@ -190,7 +190,7 @@
 // Guards against a connection to a later process that passes for one to an earlier one.
 func TestOnlyAConnectionFromBeforeAMomentIsTaken(t *testing.T) {
 	is := is.New(t)
-	pool := NewPool(metrics.NewRegistry())
+	pool := NewPool(testResponseBytes, metrics.NewRegistry())
 	addr := listen(t, respondWith(emptyResponse))
 	early, err := pool.Open(t.Context(), addr)
 	is.NoErr(err)
@@ -218,7 +218,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			p := NewPool(metrics.NewRegistry())
+			p := NewPool(testResponseBytes, metrics.NewRegistry())
 			first, err := p.Get(t.Context(), listen(t, respondWith(emptyResponse)), true)
 			is.NoErr(err)
 			roundTrip(t, first)
@@ -251,7 +251,7 @@
 				_, _ = conn.Write([]byte(whole[:end]))
 				_ = conn.Close()
 			})
-			c, err := NewPool(metrics.NewRegistry()).Open(t.Context(), addr)
+			c, err := NewPool(testResponseBytes, metrics.NewRegistry()).Open(t.Context(), addr)
 			is.NoErr(err)
 			_, err = c.Send(&Request{Method: http.MethodPost, URI: "/x", Host: "h"})
 			is.NoErr(err)
@@ -269,7 +269,7 @@
 // Guards against a target that is not known to live on since all connections to it are in use or were opened later.
 func TestAWitnessStaysIdleAndIsShared(t *testing.T) {
 	is := is.New(t)
-	p := NewPool(metrics.NewRegistry())
+	p := NewPool(testResponseBytes, metrics.NewRegistry())
 	addr := listen(t, respondWith(emptyResponse))
 	var group sync.WaitGroup
 	for range 20 {
@@ -297,3 +297,6 @@
 	is.Equal(len(p.witnesses), 0)
 	is.Equal(p.IdleOpenedBefore(addr, moment), nil)
 }
+
+// testResponseBytes is the memory for responses in tests that don't use it up.
+const testResponseBytes = 1 << 20
