--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -153,9 +153,6 @@
 	o.notReadyUntil.Store(int64(max(until, now+o.notReadyFor)))
 }
 
-// short reports whether the process is short of processor time.
-func (o *loadShedder) short() bool { return o.shedPermille.Load() > 0 }
-
 // recordDisconnect records that a caller disconnected before its request was read.
 func (o *loadShedder) recordDisconnect() {
 	o.unreadDisconnects.Add(1)
