--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -99,7 +99,7 @@
 // its previous state.
 func (d *Dispatcher) SetView(view *catalog.View) {
 	d.view = view
-	d.usage.peers = max(0, len(view.Members)-1)
+	d.usage.setMembers(view.Members, d.config.Zone)
 	previous := d.targets
 	d.targets = make(map[string]*target, len(view.Targets))
 	d.services = make(map[string][]*target)
--- a/internal/dispatch/movedusage_test.go
+++ b/internal/dispatch/movedusage_test.go
@@ -37,7 +37,7 @@
 	is := is.New(t)
 	const size, peers = 1000, 10
 	u, now := newUsage(testWindow), time.Unix(1000, 0)
-	u.peers = peers
+	u.routers, u.zoneRouters = peers+1, peers+1
 	for n := range peers {
 		var reports []AccountReport
 		if n < 2 { // the account's callers reach these and this router
--- a/internal/dispatch/usage.go
+++ b/internal/dispatch/usage.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/zinniaquay/zinniaquay/internal/catalog"
 )
 
 // usage holds the tokens that accounts recently requested and received in the
@@ -15,8 +17,9 @@
 	// accounts holds all recently active accounts of the fleet by the hash of their
 	// names, which also identifies them in peer reports.
 	accounts map[uint32]*accountUsage
-	// peers is the number of routers of the fleet beside this one.
-	peers int
+	// routers is the number of routers of the fleet, zoneRouters that of the own availability
+	// zone, and zones the number of zones.
+	routers, zoneRouters, zones int
 	// reportedAt holds as of when each source last reported the usage of accounts.
 	reportedAt map[usageSource]time.Time
 	// minCompetingRatio is the lowest ratio of all accounts that requested more than their share
@@ -78,6 +81,15 @@
 	s.value, s.at = s.valueAt(now, timeConstant)+amount, now
 }
 
+// setMembers sets which routers there are, beside this one in its availability zone.
+func (u *usage) setMembers(members map[string]catalog.Member, zone string) {
+	zones := map[string]int{zone: 0}
+	for _, m := range members {
+		zones[m.Zone]++
+	}
+	u.routers, u.zoneRouters, u.zones = len(members), zones[zone], len(zones)
+}
+
 // newUsage returns usage without accounts. The time constant of the decay is
 // half the window, so that the average age of the counted tokens is that of a
 // sliding window.
@@ -128,30 +140,49 @@
 	}
 }
 
-// reportedShareFraction is the fraction of its share below which an account's usage is not
-// reported: about that of its smallest requests.
-const reportedShareFraction = 1.0 / 16
-
-// minReportedTokens is the usage below which no account is reported.
-const minReportedTokens = 1
+const (
+	// reportedShareFraction is the fraction of its share below which an account's usage is not
+	// reported: about that of its smallest requests.
+	reportedShareFraction = 1.0 / 16
+	// unreportedShareFraction bounds what all sources of a kind together leave unreported of an
+	// account, as a fraction of its share.
+	unreportedShareFraction = 1.0 / 4
+	// maxReportedAccounts bounds the accounts in a router's report, since larger reports reach
+	// each peer less often.
+	maxReportedAccounts = 64
+	// minReportedTokens is the usage below which no account is reported.
+	minReportedTokens = 1
+)
 
-// isReported reports whether an account's usage is large enough to be reported.
-func (a *accountUsage) isReported(requested, received float64) bool {
-	return math.Max(requested, received) >= math.Max(minReportedTokens, reportedShareFraction*a.share)
+// isReported reports whether an account's usage is large enough to be reported by one of so
+// many sources.
+func (a *accountUsage) isReported(requested, received float64, sources int) bool {
+	fraction := math.Min(reportedShareFraction, unreportedShareFraction/math.Max(float64(sources), 1))
+	return math.Max(requested, received) >= math.Max(minReportedTokens, fraction*a.share)
 }
 
-// own returns the usage of accounts at this router.
+// own returns the usage of accounts at this router, of those with the largest parts of their
+// shares if there are many.
 func (u *usage) own(now time.Time) []AccountReport {
 	var reports []AccountReport
 	for hash, a := range u.accounts {
 		requested, received := a.requested.valueAt(now, u.timeConstant), a.received.valueAt(now, u.timeConstant)
-		if a.isReported(requested, received) {
+		if a.isReported(requested, received, u.zoneRouters) {
 			reports = append(reports, AccountReport{hash, requested, received, 1})
 		}
 	}
+	if len(reports) > maxReportedAccounts {
+		slices.SortFunc(reports, func(a, b AccountReport) int { return cmp.Compare(u.partOfShare(b), u.partOfShare(a)) })
+		reports = reports[:maxReportedAccounts]
+	}
 	return reports
 }
 
+// partOfShare returns the ratio of an account's reported usage to its share.
+func (u *usage) partOfShare(r AccountReport) float64 {
+	return math.Max(r.Requested, r.Received) / math.Max(u.accounts[r.Account].share, 1)
+}
+
 // inZone returns the usage of accounts at the routers of this one's availability zone, the
 // number of other routers that are included, and the mean age of the usage.
 func (u *usage) inZone(now time.Time) (reports []AccountReport, peers int, age time.Duration) {
@@ -162,7 +193,7 @@
 				r.Requested, r.Received, r.Routers = r.Requested+p.requested, r.Received+p.received, r.Routers+p.routers
 			}
 		}
-		if a.isReported(r.Requested, r.Received) {
+		if a.isReported(r.Requested, r.Received, u.zones) {
 			reports = append(reports, r)
 		}
 	}
@@ -273,7 +304,7 @@
 	zonePeers := u.zonePeers()
 	for hash, a := range u.accounts {
 		a.sample(now, u.timeConstant)
-		a.spread = a.spreadOver(zonePeers, u.peers)
+		a.spread = a.spreadOver(zonePeers, u.routers-1, u.zoneRouters)
 		requested, received := a.totals(now, u.timeConstant)
 		a.ratio, a.demandRatio, a.share = 0, 0, 0
 		if requested < 1 {
@@ -317,7 +348,7 @@
 
 // spreadOver returns the fraction of the peers that have the account, as reported: of those in
 // the own availability zone, or of all in the fleet if that is less.
-func (a *accountUsage) spreadOver(zonePeers, peers int) float64 {
+func (a *accountUsage) spreadOver(zonePeers, peers, zoneRouters int) float64 {
 	var inZone, inFleet peerUsage
 	for source, p := range a.byPeer {
 		inFleet.requested, inFleet.routers = inFleet.requested+p.requested, inFleet.routers+p.routers
@@ -325,13 +356,13 @@
 			inZone.requested, inZone.routers = inZone.requested+p.requested, inZone.routers+p.routers
 		}
 	}
-	return math.Min(a.spreadOf(inZone, zonePeers), a.spreadOf(inFleet, peers))
+	return math.Min(a.spreadOf(inZone, zonePeers, zoneRouters), a.spreadOf(inFleet, peers, zoneRouters))
 }
 
 // spreadOf returns the fraction of peers that have the account, given what they reported
 // together. It returns 1 if most of them would not have reported an equal part of it either.
-func (a *accountUsage) spreadOf(reported peerUsage, peers int) float64 {
-	if peers == 0 || !a.isReported(reported.requested/float64(peers)/reportedPartMargin, 0) {
+func (a *accountUsage) spreadOf(reported peerUsage, peers, zoneRouters int) float64 {
+	if peers <= 0 || !a.isReported(reported.requested/float64(peers)/reportedPartMargin, 0, zoneRouters) {
 		return 1
 	}
 	return float64(reported.routers) / float64(peers)
--- a/internal/dispatch/usage_test.go
+++ b/internal/dispatch/usage_test.go
@@ -192,3 +192,20 @@
 		})
 	}
 }
+
+// Guards against reports that grow with the number of accounts and then come too seldom, and against
+// those that leave out the accounts that use most.
+func TestReportOfManyAccountsHasTheLargest(t *testing.T) {
+	is, now := is.New(t), time.Unix(1000, 0)
+	u := newUsage(testWindow)
+	const accounts = 3 * maxReportedAccounts
+	for i := range accounts {
+		u.addRequested(u.account(fmt.Sprint(i)), float64(1000+i), now)
+	}
+	u.computeShares(1000, now)
+	reports := u.own(now)
+	is.Equal(len(reports), maxReportedAccounts)
+	for _, r := range reports {
+		is.True(r.Requested >= 1000+accounts-maxReportedAccounts)
+	}
+}
--- a/internal/dispatch/zoneusage_test.go
+++ b/internal/dispatch/zoneusage_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -72,3 +73,51 @@
 	requested, _ = d.usage.account("x").totals(now, d.usage.timeConstant)
 	is.Equal(requested, 0.0)
 }
+
+// Guards against a large fleet in which nobody sees what an account receives, since the part at
+// each router is too small to be reported.
+func TestUsageSpreadThinlyOverManyRoutersIsSeen(t *testing.T) {
+	const zones, perZone, part = 5, 20, 40
+	is, now := is.New(t), time.Unix(1000, 0)
+	members := make(map[string]catalog.Member)
+	for i := range zones * perZone {
+		name := fmt.Sprintf("edge-%d", i)
+		members[name] = catalog.Member{Name: name, Zone: fmt.Sprintf("zone-%d", i%zones)}
+	}
+	fleet := make(map[string]*Dispatcher)
+	for name, m := range members {
+		d := New(Config{Self: name, Zone: m.Zone, ShareWindow: testWindow})
+		d.SetView(&catalog.View{Members: members})
+		d.usage.addRequested(d.usage.account("other"), 10*part, now)
+		d.usage.addRequested(d.usage.account("spread"), part, now)
+		d.usage.addReceived("spread", part, now)
+		fleet[name] = d
+	}
+	// What all receive is twice the account's share of the capacity.
+	capacity := zones * perZone * part / testWindow.Seconds() * 2
+	for range 2 {
+		for _, d := range fleet {
+			d.usage.computeShares(capacity, now)
+		}
+		for from, d := range fleet {
+			for to, other := range fleet {
+				if to != from && members[to].Zone == members[from].Zone {
+					other.Merge(from, d.UsageReport(now), now)
+				}
+			}
+		}
+		for from, d := range fleet {
+			total, complete := d.ZoneUsageReport(now)
+			is.True(complete)
+			for to, other := range fleet {
+				if members[to].Zone != members[from].Zone {
+					other.MergeZoneUsage(AccountHash(members[from].Zone), total, now)
+				}
+			}
+		}
+	}
+	for _, d := range fleet {
+		_, received := d.usage.account("spread").totals(now, d.usage.timeConstant)
+		is.True(received >= (1-unreportedShareFraction)*zones*perZone*part)
+	}
+}
