--- a/internal/gateway/connshed.go
+++ b/internal/gateway/connshed.go
@@ -110,7 +110,7 @@
 			continue // the caller left before its connection was accepted
 		}
 		if acceptErr != nil {
-			return nil, os.NewSyscallError("accept4", acceptErr)
+			return nil, acceptError(acceptErr)
 		}
 		if admitted < 0 {
 			continue
@@ -124,6 +124,12 @@
 	}
 }
 
+// acceptError returns the error that net reports for a failed accept. The HTTP server goes on
+// after those that it knows to be temporary, such as a lack of descriptors.
+func acceptError(err error) error {
+	return &net.OpError{Op: "accept", Net: "tcp4", Err: os.NewSyscallError("accept4", err)}
+}
+
 // acceptOn accepts a connection on the listener's descriptor and sheds its first request, or
 // returns the descriptor of the connection if it is not to be shed; -1 otherwise.
 func (s *connShedder) acceptOn(listener int) (int, error) {
--- a/internal/gateway/connshed_test.go
+++ b/internal/gateway/connshed_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -163,3 +165,12 @@
 	is.NoErr(accepted.Close())
 	is.NoErr(conn.Close())
 }
+
+// Guards against a server that ends since a process short of processor time is short of
+// descriptors as well.
+func TestLackOfDescriptorsWhileSheddingIsTemporary(t *testing.T) {
+	is := is.New(t)
+	var temporary interface{ Temporary() bool }
+	is.True(errors.As(acceptError(syscall.EMFILE), &temporary))
+	is.True(temporary.Temporary())
+}
